--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"sort"
+	"strings"
+)
+
+// Document is a compiled, valid configuration. It is immutable and safe for
+// concurrent use.
+type Document struct {
+	ranks    map[string]*Rank
+	services map[string]*Service
+	routes   []*Route
+	retries  map[string]*RetryPolicy
+	ordered  []*Rank
+}
+
+// Rank returns the rank with that name.
+func (d *Document) Rank(name string) (*Rank, bool) {
+	r, ok := d.ranks[name]
+	return r, ok
+}
+
+// Ranks returns all ranks, most urgent first. The caller must not change it.
+func (d *Document) Ranks() []*Rank { return d.ordered }
+
+// Service returns the service with that name.
+func (d *Document) Service(name string) (*Service, bool) {
+	s, ok := d.services[name]
+	return s, ok
+}
+
+// Services returns all services sorted by name.
+func (d *Document) Services() []*Service {
+	out := make([]*Service, 0, len(d.services))
+	for _, s := range d.services {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Routes returns all routes, longest path prefix first. The caller must not
+// change it.
+func (d *Document) Routes() []*Route { return d.routes }
+
+// RetryPolicy returns the retry policy with that name.
+func (d *Document) RetryPolicy(name string) (*RetryPolicy, bool) {
+	p, ok := d.retries[name]
+	return p, ok
+}
+
+// MatchRoute returns the route with the longest matching path prefix; among
+// equal prefixes one that names the method goes before one that matches any.
+func (d *Document) MatchRoute(method, path string) (*Route, bool) {
+	for _, r := range d.routes {
+		if r.Method != "" && r.Method != method {
+			continue
+		}
+		if matchesPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+func matchesPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+func (d *Document) sortRoutes() {
+	sort.SliceStable(d.routes, func(i, j int) bool {
+		a, b := d.routes[i], d.routes[j]
+		if len(a.PathPrefix) != len(b.PathPrefix) {
+			return len(a.PathPrefix) > len(b.PathPrefix)
+		}
+		if (a.Method == "") != (b.Method == "") {
+			return a.Method != ""
+		}
+		return a.Name < b.Name
+	})
+}
+
+func (d *Document) sortRanks() {
+	for _, r := range d.ranks {
+		d.ordered = append(d.ordered, r)
+	}
+	sort.Slice(d.ordered, func(i, j int) bool { return d.ordered[i].Order < d.ordered[j].Order })
+}
--- /dev/null
+++ b/config/manifest/envelope.go
@@ -0,0 +1,60 @@
+package manifest
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/json"
+)
+
+// signingDomain keeps a signature over a manifest from being valid for any
+// other kind of message signed with the same key.
+const signingDomain = "filbertpier manifest v1\x00"
+
+// Envelope is the published form of a manifest with its signatures.
+type Envelope struct {
+	// Manifest holds the exact bytes that were signed.
+	Manifest   []byte      `json:"manifest"`
+	Signatures []Signature `json:"signatures"`
+}
+
+// Digest returns the digest that identifies the version's content.
+func (e *Envelope) Digest() Digest { return Sum(e.Manifest) }
+
+// Encode returns the envelope's published bytes.
+func (e *Envelope) Encode() ([]byte, error) { return json.Marshal(e) }
+
+// DecodeEnvelope parses an envelope without checking its signatures. It
+// returns a *MalformedError.
+func DecodeEnvelope(raw []byte) (*Envelope, error) {
+	var e Envelope
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&e); err != nil {
+		return nil, &MalformedError{Part: "envelope", Err: err}
+	}
+	return &e, nil
+}
+
+// Sign adds or replaces the lead's signature.
+func (e *Envelope) Sign(lead Lead, key ed25519.PrivateKey) {
+	sig := Signature{
+		Lead:  lead,
+		KeyID: KeyID(key.Public().(ed25519.PublicKey)),
+		Value: ed25519.Sign(key, signedBytes(lead, e.Digest())),
+	}
+	kept := e.Signatures[:0:0]
+	for _, s := range e.Signatures {
+		if s.Lead != lead {
+			kept = append(kept, s)
+		}
+	}
+	e.Signatures = append(kept, sig)
+}
+
+// signedBytes includes the role, so that one lead's signature cannot stand for
+// the other's where both roles share a key by mistake.
+func signedBytes(lead Lead, d Digest) []byte {
+	b := append([]byte(signingDomain), lead...)
+	b = append(b, 0)
+	return append(b, d[:]...)
+}
--- /dev/null
+++ b/config/retry_policy.go
@@ -0,0 +1,14 @@
+package config
+
+// RetryPolicy bounds how often and how fast calls are tried again.
+type RetryPolicy struct {
+	// Name is unique in the document.
+	Name string `json:"name"`
+	// MaxAttempts counts the first attempt too.
+	MaxAttempts int `json:"maxAttempts"`
+	// BudgetRatio bounds retries as a share of recent calls to the service,
+	// 0 to 1.
+	BudgetRatio float64 `json:"budgetRatio"`
+	// BackoffMs is the mean delay before the first retry in milliseconds.
+	BackoffMs int64 `json:"backoffMs"`
+}
--- /dev/null
+++ b/config/section_body.go
@@ -0,0 +1,11 @@
+package config
+
+// SectionBody is the decoded content of one section.
+type SectionBody struct {
+	Section  string        `json:"section"`
+	Owner    string        `json:"owner"`
+	Ranks    []Rank        `json:"ranks,omitempty"`
+	Services []Service     `json:"services,omitempty"`
+	Routes   []Route       `json:"routes,omitempty"`
+	Retries  []RetryPolicy `json:"retries,omitempty"`
+}
--- /dev/null
+++ b/config/service.go
@@ -0,0 +1,14 @@
+package config
+
+// Service is a set of upstreams that serve the same routes.
+type Service struct {
+	// Name is unique in the document.
+	Name string `json:"name"`
+	// Selector names the service label of the VMs whose upstreams belong to
+	// this service.
+	Selector string `json:"selector"`
+	// Slots is the number of calls that one upstream runs at once.
+	Slots int `json:"slots"`
+	// Connections is the number of connections that one upstream accepts.
+	Connections int `json:"connections"`
+}
--- /dev/null
+++ b/config/source.go
@@ -0,0 +1,54 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"github.com/tailscale/hujson"
+)
+
+// source is a section's text with its decoded body and the positions of its
+// values.
+type source struct {
+	section Section
+	body    SectionBody
+	tree    hujson.Value
+}
+
+// parseSource decodes one section. Unknown fields are faults: a misspelt field
+// would otherwise be ignored.
+func parseSource(s Section) (*source, []Fault) {
+	if len(s.Raw) > MaxSectionBytes {
+		return nil, []Fault{{Section: s.Name, Rule: "section-size", Detail: fmt.Sprintf("%d bytes, at most %d", len(s.Raw), MaxSectionBytes)}}
+	}
+	tree, err := hujson.Parse(s.Raw)
+	if err != nil {
+		return nil, []Fault{{Section: s.Name, Line: 1, Rule: "syntax", Detail: err.Error()}}
+	}
+	src := &source{section: s, tree: tree}
+	std := tree.Clone()
+	std.Standardize()
+	dec := json.NewDecoder(bytes.NewReader(std.Pack()))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&src.body); err != nil {
+		return nil, []Fault{{Section: s.Name, Line: lineAt(s.Raw, int(dec.InputOffset())), Rule: "schema", Detail: err.Error()}}
+	}
+	return src, nil
+}
+
+// line returns the line of the value at a JSON pointer, or 1.
+func (s *source) line(pointer string) int {
+	v := s.tree.Find(pointer)
+	if v == nil {
+		return 1
+	}
+	return lineAt(s.section.Raw, v.StartOffset)
+}
+
+func lineAt(raw []byte, offset int) int {
+	if offset > len(raw) {
+		offset = len(raw)
+	}
+	return 1 + bytes.Count(raw[:offset], []byte{'\n'})
+}
--- /dev/null
+++ b/internal/testkit/doc.go
@@ -0,0 +1,2 @@
+// Package testkit builds signed documents for tests.
+package testkit
