--- /dev/null
+++ b/internal/control/adopt.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"errors"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/config/manifest"
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/internal/spread"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// adopt checks a version whole, puts it in force and tells others. Sections
+// that did not come along are taken from the versions held. It reports whether
+// the version is in force.
+func (a *Agent) adopt(now time.Time, env *manifest.Envelope, sections map[manifest.Digest][]byte, origin spread.Origin, out *effects) bool {
+	source := func(d manifest.Digest) ([]byte, bool) {
+		if data, ok := sections[d]; ok {
+			return data, true
+		}
+		return a.store.Section(d)
+	}
+	snap, err := snapshot.Build(a.cfg.Keys, env, source)
+	if err != nil {
+		a.refuse(env, err, out)
+		return false
+	}
+	if err := a.store.Apply(snap); err != nil {
+		return false
+	}
+	a.transfers.dropUpTo(snap.ID)
+	out.log(effect.EventVersionAdopted, "version", snap.ID.Version, "digest", snap.ID.Digest.String(), "origin", origin)
+	self := a.self.get()
+	for _, t := range spread.Targets(a.table.View(now), self, versionSeed(snap.ID), origin, a.rng.fork()) {
+		out.send(self, t, &message.Announce{VM: self.VM, ID: snap.ID})
+	}
+	return true
+}
+
+// refuse remembers a version with invalid content; a version that only lacks
+// sections stays pending.
+func (a *Agent) refuse(env *manifest.Envelope, err error, out *effects) {
+	var missing *snapshot.MissingSectionsError
+	if errors.As(err, &missing) {
+		return
+	}
+	var invalid *config.InvalidDocumentError
+	if errors.As(err, &invalid) {
+		if m, decodeErr := manifest.Decode(env.Manifest); decodeErr == nil {
+			id := snapshot.ID{Version: m.Version, Digest: env.Digest()}
+			a.refused.add(id, err)
+			a.transfers.drop(id)
+		}
+	}
+	out.log(effect.EventVersionRefused, "digest", env.Digest().String(), "error", err.Error())
+}
--- /dev/null
+++ b/internal/control/agent.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// Agent is the control logic of one node. All methods are safe for concurrent
+// use; none blocks on I/O. Effects must be carried out in any order.
+type Agent struct {
+	cfg       Config
+	self      selfRecord
+	table     *member.Table
+	store     *snapshot.Store
+	rng       *random
+	watches   *watches
+	transfers *transfers
+	refused   *refused
+	updates   *updateQueue
+	platform  platformState
+	join      joinState
+
+	ticks atomic.Uint64
+	// lastTick is the Unix time of the last tick in nanoseconds.
+	lastTick atomic.Int64
+}
+
+// New returns an agent that puts versions in force in store.
+func New(cfg Config, store *snapshot.Store) *Agent {
+	cfg = cfg.withDefaults()
+	return &Agent{
+		cfg:       cfg,
+		self:      selfRecord{m: cfg.Self},
+		table:     member.NewTable(),
+		store:     store,
+		rng:       newRandom(cfg.Seed),
+		watches:   newWatches(),
+		transfers: newTransfers(),
+		refused:   newRefused(),
+		updates:   newUpdateQueue(),
+	}
+}
+
+// Start returns the first effects.
+func (a *Agent) Start(now time.Time) []effect.Effect {
+	var out effects
+	a.table.Apply(now, a.self.get())
+	a.lastTick.Store(now.UnixNano())
+	a.startJoin(now, &out)
+	out.timer(a.rng.jitter(a.cfg.HeartbeatInterval), effect.Timer{Kind: effect.TimerTick})
+	return out
+}
+
+// HandleMessage processes a message from a peer.
+func (a *Agent) HandleMessage(now time.Time, msg message.Message) []effect.Effect {
+	var out effects
+	switch m := msg.(type) {
+	case *message.Heartbeat:
+		a.onHeartbeat(now, m, &out)
+	case *message.Announce:
+		a.watches.mark(m.VM, now)
+		a.onOffer(now, m.ID, m.VM, &out)
+	case *message.PullRequest:
+		a.watches.mark(m.VM, now)
+		a.onPullRequest(m, &out)
+	case *message.PullResponse:
+		a.watches.mark(m.VM, now)
+		a.onPullResponse(now, m, &out)
+	case *message.MemberUpdates:
+		a.watches.mark(m.VM, now)
+		a.mergeMembers(now, m.VM, m.Members, &out)
+	case *message.TableDigests:
+		a.watches.mark(m.VM, now)
+		a.onTableDigests(m, &out)
+	case *message.JoinRequest:
+		a.onJoinRequest(now, m, &out)
+	case *message.JoinResponse:
+		a.onJoinResponse(now, m, &out)
+	}
+	a.checkReady(now, &out)
+	return out
+}
+
+// HandleTimer processes a timer firing.
+func (a *Agent) HandleTimer(now time.Time, t effect.Timer) []effect.Effect {
+	var out effects
+	switch t.Kind {
+	case effect.TimerTick:
+		a.onTick(now, &out)
+	case effect.TimerTransfer:
+		a.onTransferTimer(now, t.ID, &out)
+	case effect.TimerSuspicion:
+		a.onSuspicionTimer(now, t, &out)
+	case effect.TimerFlushUpdates:
+		a.flushUpdates(now, &out)
+	case effect.TimerJoin:
+		a.onJoinTimer(now, &out)
+	case effect.TimerFallback:
+		a.onFallbackTimer(now, &out)
+	}
+	a.checkReady(now, &out)
+	return out
+}
+
+// HandlePlatform processes the outcome of a platform read.
+func (a *Agent) HandlePlatform(now time.Time, ans effect.PlatformAnswer) []effect.Effect {
+	var out effects
+	switch ans.Read.Query {
+	case effect.QueryManifest:
+		a.onManifestAnswer(now, ans, &out)
+	case effect.QuerySection:
+		a.onSectionAnswer(now, ans, &out)
+	case effect.QueryVMList:
+		a.onVMListAnswer(now, ans, &out)
+	}
+	a.checkReady(now, &out)
+	return out
+}
+
+// Leave announces that the node is about to stop. It keeps answering peers
+// until the process ends.
+func (a *Agent) Leave(now time.Time) []effect.Effect {
+	var out effects
+	m := a.self.leave(now.UnixMilli())
+	a.noteMember(now, m, &out)
+	a.flushUpdates(now, &out)
+	return out
+}
+
+// CatchUp asks peers for a version that a call requires.
+func (a *Agent) CatchUp(now time.Time, id snapshot.ID) []effect.Effect {
+	var out effects
+	a.onOffer(now, id, "", &out)
+	return out
+}
+
+// Ready reports whether the node may serve calls: it joined, and it was not
+// paused so long that its view may be out of date.
+func (a *Agent) Ready(now time.Time) bool {
+	return a.join.isReady() && !a.pausedAt(now)
+}
+
+// Table returns the node's view of the fleet.
+func (a *Agent) Table() *member.Table { return a.table }
+
+// Store returns the versions that the node holds.
+func (a *Agent) Store() *snapshot.Store { return a.store }
+
+// Self returns the node's own record.
+func (a *Agent) Self() member.Member { return a.self.get() }
+
+// Refused returns the versions refused for their content and why.
+func (a *Agent) Refused() map[snapshot.ID]error { return a.refused.all() }
+
+// PlatformAge returns the age of the last platform read by any node that this
+// node knows of; ok is false if it knows of none.
+func (a *Agent) PlatformAge(now time.Time) (age time.Duration, ok bool) { return a.platform.age(now) }
+
+func (a *Agent) pausedAt(now time.Time) bool {
+	last := time.Unix(0, a.lastTick.Load())
+	return now.Sub(last) > pauseIntervals*a.cfg.HeartbeatInterval
+}
--- /dev/null
+++ b/internal/control/anti_entropy.go
@@ -0,0 +1,44 @@
+package control
+
+import (
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
+)
+
+func (a *Agent) tableDigests(self member.Member, reply bool) *message.TableDigests {
+	d := a.table.Digests()
+	return &message.TableDigests{VM: self.VM, Digests: d[:], Reply: reply}
+}
+
+// compareTables starts a comparison of the member table with a random peer.
+func (a *Agent) compareTables(members []member.Member, self member.Member, out *effects) {
+	if m, ok := a.randomPeer(members, self); ok {
+		out.send(self, m, a.tableDigests(self, false))
+	}
+}
+
+// onTableDigests sends the records of the shards that differ.
+func (a *Agent) onTableDigests(m *message.TableDigests, out *effects) {
+	from, ok := a.table.Get(m.VM)
+	if !ok || len(m.Digests) != member.ShardCount {
+		return
+	}
+	self := a.self.get()
+	var records []member.Member
+	for i, d := range a.table.Digests() {
+		if d != m.Digests[i] {
+			records = append(records, a.table.Shard(i)...)
+		}
+	}
+	if len(records) == 0 {
+		return
+	}
+	for len(records) > 0 {
+		n := min(len(records), maxUpdates)
+		out.send(self, from, &message.MemberUpdates{VM: self.VM, Members: records[:n]})
+		records = records[n:]
+	}
+	if !m.Reply {
+		out.send(self, from, a.tableDigests(self, true))
+	}
+}
--- /dev/null
+++ b/internal/control/config.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/config/manifest"
+	"github.com/filbertpier/filbertpier/internal/member"
+)
+
+// Config configures an Agent. All fields are read-only after New.
+type Config struct {
+	// Self is the node's own record; Boot must differ from that of any
+	// earlier process on the VM.
+	Self member.Member
+	// Keys holds the public keys of both leads.
+	Keys manifest.KeyRing
+	// Seeds are the peer addresses asked first when joining.
+	Seeds []string
+	// PlatformRegion is the region that hosts the configuration store. Its
+	// readers hold short watches and read the VM list often; others rely on
+	// peers, because cross-region traffic is charged by volume.
+	PlatformRegion string
+	// HeartbeatInterval is the time between heartbeats to each watched peer.
+	// Shorter finds the dead sooner and costs CPU and bytes on every node.
+	// Default 1 s.
+	HeartbeatInterval time.Duration
+	// SuspicionTimeout is how long a suspect may refute before it counts as
+	// dead. Shorter moves calls away sooner and declares more paused nodes
+	// dead. Default 2 s.
+	SuspicionTimeout time.Duration
+	// JoinTimeout is how long an empty node looks for a node that already
+	// serves before it accepts the platform's version alone. Longer protects
+	// better against a stale platform; shorter starts a new fleet sooner.
+	// Default 5 s.
+	JoinTimeout time.Duration
+	// Seed seeds the agent's random numbers.
+	Seed uint64
+}
+
+// withDefaults fills the zero fields.
+func (c Config) withDefaults() Config {
+	if c.HeartbeatInterval == 0 {
+		c.HeartbeatInterval = time.Second
+	}
+	if c.SuspicionTimeout == 0 {
+		c.SuspicionTimeout = 2 * time.Second
+	}
+	if c.JoinTimeout == 0 {
+		c.JoinTimeout = 5 * time.Second
+	}
+	return c
+}
--- /dev/null
+++ b/internal/control/heartbeat.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/internal/spread"
+)
+
+func (a *Agent) heartbeat(now time.Time, reply bool) *message.Heartbeat {
+	age := int64(message.UnknownAge)
+	if d, ok := a.platform.age(now); ok {
+		age = d.Milliseconds()
+	}
+	return &message.Heartbeat{
+		From:          a.self.get(),
+		Current:       a.store.CurrentID(),
+		Ready:         a.Ready(now),
+		PlatformAgeMs: age,
+		Reply:         reply,
+	}
+}
+
+func (a *Agent) onHeartbeat(now time.Time, m *message.Heartbeat, out *effects) {
+	a.watches.mark(m.From.VM, now)
+	if m.PlatformAgeMs >= 0 {
+		a.platform.seen(now.Add(-time.Duration(m.PlatformAgeMs) * time.Millisecond))
+	}
+	a.hearSender(now, m.From, out)
+	a.join.hear(m.From.VM, m.Current, m.Ready)
+	if !m.Reply {
+		out.send(a.self.get(), m.From, a.heartbeat(now, true))
+	}
+	a.onOffer(now, m.Current, m.From.VM, out)
+}
+
+// hearSender merges the sender's own record. If the node holds a record of the
+// sender that supersedes it, the sender is told, so that it can refute.
+func (a *Agent) hearSender(now time.Time, from member.Member, out *effects) {
+	self := a.self.get()
+	if a.table.Apply(now, from) {
+		a.queueUpdates(spread.FromPeer, out, from)
+		return
+	}
+	if held, ok := a.table.Get(from.VM); ok && held.Supersedes(from) {
+		out.send(self, from, &message.MemberUpdates{VM: self.VM, Members: []member.Member{held}})
+	}
+}
+
+// onTick sends heartbeats, looks for silent members and starts due reads.
+func (a *Agent) onTick(now time.Time, out *effects) {
+	out.timer(a.rng.jitter(a.cfg.HeartbeatInterval), effect.Timer{Kind: effect.TimerTick})
+	if a.pausedAt(now) {
+		out.log(effect.EventPauseDetected, "pause_ms", now.Sub(time.Unix(0, a.lastTick.Load())).Milliseconds())
+		a.watches.reset()
+		a.startJoin(now, out)
+	}
+	a.lastTick.Store(now.UnixNano())
+	tick := a.ticks.Add(1)
+	view := a.table.View(now)
+	self := a.self.get()
+	a.beatSuccessors(now, view, self, out)
+	a.beatRandomPeer(now, view, self, out)
+	if tick%gatewayTicks == 0 {
+		a.beatOtherRegions(now, view, self, tick, out)
+	}
+	if tick%antiEntropyTicks == 0 {
+		a.compareTables(view.Region(self.Region), self, out)
+		a.table.Expire(now)
+	}
+	a.readIfDue(now, view, self, out)
+}
+
+func (a *Agent) beatSuccessors(now time.Time, view *member.View, self member.Member, out *effects) {
+	limit := missedIntervals * a.cfg.HeartbeatInterval * 3 / 2
+	keep := map[string]bool{}
+	for _, m := range view.Successors(self.Zone, self.VM, watchedSuccessors) {
+		keep[m.VM] = true
+		out.send(self, m, a.heartbeat(now, false))
+		if silent := a.watches.since(m.VM, now); silent > limit {
+			a.onSilent(now, m, silent-limit, out)
+		}
+	}
+	a.watches.retain(keep)
+}
+
+func (a *Agent) beatRandomPeer(now time.Time, view *member.View, self member.Member, out *effects) {
+	if m, ok := a.randomPeer(view.Zone(self.Zone), self); ok {
+		out.send(self, m, a.heartbeat(now, false))
+	}
+	// One in Fanout ticks goes to another zone of the region, so that zones
+	// learn of each other's versions when a tree message is lost.
+	if zones := view.Zones(self.Region); len(zones) > 1 && a.rng.intN(spread.Fanout) == 0 {
+		if m, ok := a.randomPeer(view.Region(self.Region), self); ok {
+			out.send(self, m, a.heartbeat(now, false))
+		}
+	}
+}
+
+// beatOtherRegions runs on the gateways of the region only, since traffic between
+// regions is charged by volume; two, so that one may be dead or paused.
+func (a *Agent) beatOtherRegions(now time.Time, view *member.View, self member.Member, tick uint64, out *effects) {
+	if _, ok := spread.IsGateway(view, self, a.gatewaySeed(now)); !ok {
+		return
+	}
+	for _, region := range view.Regions() {
+		if region == self.Region {
+			continue
+		}
+		if m, ok := a.randomPeer(view.Region(region), self); ok {
+			out.send(self, m, a.heartbeat(now, false))
+			if tick%gatewayAntiEntropyTicks == 0 {
+				out.send(self, m, a.tableDigests(self, false))
+			}
+		}
+	}
+}
+
+// gatewaySeed makes another pair of nodes keep in touch with other regions each
+// minute, so that a paused or cut off pair is replaced.
+func (a *Agent) gatewaySeed(now time.Time) uint64 { return uint64(now.Unix() / 60) }
+
+func (a *Agent) randomPeer(members []member.Member, self member.Member) (member.Member, bool) {
+	if len(members) == 0 {
+		return member.Member{}, false
+	}
+	m := members[a.rng.intN(len(members))]
+	return m, m.VM != self.VM
+}
--- /dev/null
+++ b/internal/control/join.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/internal/spread"
+)
+
+// startJoin makes the node ask peers before it serves. It runs at the start and
+// after a pause.
+func (a *Agent) startJoin(now time.Time, out *effects) {
+	a.join.restart(now.Add(a.cfg.JoinTimeout))
+	a.delayReading(now)
+	a.askToJoin(now, out)
+	out.timer(a.rng.jitter(a.cfg.HeartbeatInterval/2), effect.Timer{Kind: effect.TimerJoin})
+}
+
+// delayReading spreads the platform reads of nodes that all start at once.
+func (a *Agent) delayReading(now time.Time) {
+	p := &a.platform
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readerNotBefore = now.Add(settleIntervals * a.cfg.HeartbeatInterval)
+	p.aloneNotBefore = now
+	if len(a.cfg.Seeds) > 0 {
+		p.aloneNotBefore = now.Add(a.rng.jitter(joinListWindow) - joinListWindow/2)
+	}
+}
+
+// askToJoin sends join requests to the seeds while no peer is known, and
+// heartbeats to random peers afterwards, whose replies name their version.
+func (a *Agent) askToJoin(now time.Time, out *effects) {
+	self := a.self.get()
+	view := a.table.View(now)
+	if len(view.All()) <= 1 {
+		for _, addr := range a.cfg.Seeds {
+			if addr != self.PeerAddr {
+				out.sendAddr(addr, &message.JoinRequest{From: self})
+			}
+		}
+		return
+	}
+	for range joinPeers {
+		if m, ok := a.randomPeer(view.Region(self.Region), self); ok {
+			out.send(self, m, a.heartbeat(now, false))
+		}
+	}
+	if m, ok := a.randomPeer(view.All(), self); ok {
+		out.send(self, m, a.heartbeat(now, false))
+	}
+}
+
+// onJoinTimer repeats the questions until the node is ready.
+func (a *Agent) onJoinTimer(now time.Time, out *effects) {
+	if a.join.isReady() {
+		return
+	}
+	a.askToJoin(now, out)
+	out.timer(a.rng.jitter(a.cfg.HeartbeatInterval/2), effect.Timer{Kind: effect.TimerJoin})
+}
+
+func (a *Agent) onJoinRequest(now time.Time, m *message.JoinRequest, out *effects) {
+	self := a.self.get()
+	out.send(self, m.From, &message.JoinResponse{
+		From:    self,
+		Current: a.store.CurrentID(),
+		Ready:   a.Ready(now),
+		Members: a.table.All(),
+	})
+	if a.applyMember(now, m.From, out) {
+		a.queueUpdates(spread.FromPlatform, out, m.From)
+		return
+	}
+	a.hearSender(now, m.From, out)
+}
+
+func (a *Agent) onJoinResponse(now time.Time, m *message.JoinResponse, out *effects) {
+	a.watches.mark(m.From.VM, now)
+	a.hearSender(now, m.From, out)
+	a.mergeQuietly(now, m.Members, out)
+	a.join.hear(m.From.VM, m.Current, m.Ready)
+	a.onOffer(now, m.Current, m.From.VM, out)
+	a.askToJoin(now, out)
+}
+
+// mergeQuietly applies a whole table without passing it on: the others have it.
+func (a *Agent) mergeQuietly(now time.Time, members []member.Member, out *effects) {
+	self := a.self.get()
+	for _, m := range members {
+		if m.VM == self.VM {
+			a.answerClaim(now, m, out)
+			continue
+		}
+		a.table.Apply(now, m)
+		if m.Status == member.Suspect {
+			out.timer(a.cfg.SuspicionTimeout, effect.Timer{Kind: effect.TimerSuspicion, VM: m.VM, Boot: m.Boot, Incarnation: m.Incarnation})
+		}
+	}
+}
+
+// checkReady lets the node serve as soon as it has joined.
+func (a *Agent) checkReady(now time.Time, out *effects) {
+	if a.join.isReady() {
+		return
+	}
+	known := len(a.table.View(now).All()) - 1
+	if a.join.complete(now, a.store.CurrentID(), known) {
+		out.log(effect.EventReady, "version", a.store.CurrentID().Version, "known_members", known)
+	}
+}
--- /dev/null
+++ b/internal/control/limits.go
@@ -0,0 +1,68 @@
+package control
+
+import "time"
+
+const (
+	// watchedSuccessors is the number of ring successors that a node monitors.
+	watchedSuccessors = 3
+	// missedIntervals is the number of silent heartbeat intervals after which
+	// a watched member is suspected.
+	missedIntervals = 2
+	// pauseIntervals is the number of heartbeat intervals between two ticks
+	// after which the node assumes that it was paused itself.
+	pauseIntervals = 3
+	// settleIntervals is the number of heartbeat intervals after the start in
+	// which a node learns of its peers before it may act as a reader.
+	settleIntervals = 2
+	// antiEntropyTicks is the number of ticks between comparisons of the
+	// member table with a peer in the same region.
+	antiEntropyTicks = 30
+	// gatewayTicks is the number of ticks between heartbeats to other regions.
+	gatewayTicks = 2
+	// gatewayAntiEntropyTicks is the number of ticks between comparisons of
+	// the member table with a peer in another region.
+	gatewayAntiEntropyTicks = 10
+	// joinPeers is the number of peers whose version an empty node compares.
+	joinPeers = 3
+	// updateDelay coalesces member updates.
+	updateDelay = 50 * time.Millisecond
+	// maxUpdates bounds the records of one message, about 40 KB.
+	maxUpdates = 256
+
+	// transferRetry is the time after which a pull in the same region is sent
+	// to another source.
+	transferRetry = 300 * time.Millisecond
+	// transferRetryFar is the same across regions.
+	transferRetryFar = time.Second
+	// secondGatewayDelay gives the first gateway of a region the time to
+	// fetch the region's one copy.
+	secondGatewayDelay = 300 * time.Millisecond
+	// strayDelay gives both gateways that time before another node pulls
+	// across regions; up to the same time is added at random.
+	strayDelay = time.Second
+	// maxTransferAttempts bounds one transfer; heartbeats start a new one.
+	maxTransferAttempts = 20
+	// transferAttemptsBeforePlatform is the number of failed attempts after
+	// which a node asks the platform for the manifest.
+	transferAttemptsBeforePlatform = 5
+	// maxTransferSources bounds the sources kept for a transfer.
+	maxTransferSources = 8
+	// maxRefused bounds the remembered refused versions.
+	maxRefused = 64
+
+	// watchWait is how long a reader's watch waits in the platform's region.
+	watchWait = 2 * time.Second
+	// watchWaitFar is the same in other regions.
+	watchWaitFar = 20 * time.Second
+	// vmListInterval is the time between reads of the VM list in the
+	// platform's region.
+	vmListInterval = 5 * time.Second
+	// vmListIntervalFar is the same in other regions: the list is large, and
+	// member updates bring its changes.
+	vmListIntervalFar = 60 * time.Second
+	// joinListWindow spreads the reads of the VM list when all nodes restart
+	// at once and no seed answers: 7,300 nodes make 365 reads a second.
+	joinListWindow = 20 * time.Second
+	// platformBackoff is the mean delay after a failed platform read.
+	platformBackoff = time.Second
+)
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/internal/spread"
+)
+
+// noteMember applies a record that this node made itself.
+func (a *Agent) noteMember(now time.Time, m member.Member, out *effects) {
+	if a.applyMember(now, m, out) {
+		a.queueUpdates(spread.FromPlatform, out, m)
+	}
+}
+
+// applyMember merges one record and reports whether it was news.
+func (a *Agent) applyMember(now time.Time, m member.Member, out *effects) bool {
+	if !a.table.Apply(now, m) {
+		return false
+	}
+	out.log(effect.EventMemberChanged, "vm", m.VM, "status", m.Status.String(), "boot", m.Boot, "incarnation", m.Incarnation)
+	if m.Status == member.Suspect {
+		out.timer(a.cfg.SuspicionTimeout, effect.Timer{Kind: effect.TimerSuspicion, VM: m.VM, Boot: m.Boot, Incarnation: m.Incarnation})
+	}
+	return true
+}
+
+// mergeMembers applies records from a peer and passes the news on.
+func (a *Agent) mergeMembers(now time.Time, fromVM string, members []member.Member, out *effects) {
+	self := a.self.get()
+	var news []member.Member
+	for _, m := range members {
+		if m.VM == self.VM {
+			a.answerClaim(now, m, out)
+			continue
+		}
+		if a.applyMember(now, m, out) {
+			news = append(news, m)
+		}
+	}
+	if len(news) > 0 {
+		a.queueUpdates(a.originOf(fromVM, self), out, news...)
+	}
+}
+
+// answerClaim refutes a peer's record of this node that supersedes its own. A
+// record that the node is leaving is accepted: the platform decides that.
+func (a *Agent) answerClaim(now time.Time, claim member.Member, out *effects) {
+	self := a.self.get()
+	if !claim.Supersedes(self) || claim.Boot > self.Boot {
+		return
+	}
+	if claim.Status == member.Leaving {
+		a.noteMember(now, a.self.leave(now.UnixMilli()), out)
+		return
+	}
+	m := a.self.refute(claim, now.UnixMilli())
+	out.log(effect.EventMemberRefuted, "claim", claim.Status.String(), "incarnation", m.Incarnation)
+	a.noteMember(now, m, out)
+}
+
+func (a *Agent) originOf(vm string, self member.Member) spread.Origin {
+	m, ok := a.table.Get(vm)
+	if !ok {
+		return spread.FromPeer
+	}
+	return spread.OriginOf(self.Zone, self.Region, m.Zone, m.Region)
+}
+
+func (a *Agent) queueUpdates(origin spread.Origin, out *effects, members ...member.Member) {
+	if a.updates.add(origin, members...) {
+		out.timer(updateDelay, effect.Timer{Kind: effect.TimerFlushUpdates})
+	}
+}
+
+// flushUpdates sends the queued records along a tree of their own.
+func (a *Agent) flushUpdates(now time.Time, out *effects) {
+	members, origin := a.updates.take()
+	if len(members) == 0 {
+		return
+	}
+	self := a.self.get()
+	seed := spread.Weight(members[0].VM, members[0].Boot+members[0].Incarnation)
+	targets := spread.Targets(a.table.View(now), self, seed, origin, a.rng.fork())
+	for len(members) > 0 {
+		n := min(len(members), maxUpdates)
+		batch := &message.MemberUpdates{VM: self.VM, Members: members[:n]}
+		for _, t := range targets {
+			out.send(self, t, batch)
+		}
+		members = members[n:]
+	}
+}
--- /dev/null
+++ b/internal/control/offer.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/internal/spread"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// onOffer starts fetching a version that a peer holds, if it is news. vm is
+// empty if the holder is not known.
+func (a *Agent) onOffer(now time.Time, id snapshot.ID, vm string, out *effects) {
+	current := a.store.CurrentID()
+	if id.Version == current.Version && id != current && !id.IsZero() {
+		out.log(effect.EventVersionConflict, "version", id.Version, "digest", id.Digest.String(), "own_digest", current.Digest.String())
+	}
+	if !current.Less(id) || a.refused.has(id) {
+		return
+	}
+	created := false
+	a.transfers.update(id, func(tr *transfer, isNew bool) {
+		created = isNew
+		tr.addSource(vm)
+	})
+	if !created {
+		return
+	}
+	out.log(effect.EventTransferStarted, "version", id.Version, "from", vm)
+	if delay := a.pullDelay(now, id, vm); delay > 0 {
+		out.timer(delay, effect.Timer{Kind: effect.TimerTransfer, ID: id})
+		return
+	}
+	a.pull(now, id, out)
+}
+
+// pullDelay keeps all but one node of a region from pulling across regions at
+// once.
+func (a *Agent) pullDelay(now time.Time, id snapshot.ID, vm string) time.Duration {
+	self := a.self.get()
+	from, ok := a.table.Get(vm)
+	if !ok || from.Region == self.Region {
+		return 0
+	}
+	rank, gateway := spread.IsGateway(a.table.View(now), self, versionSeed(id))
+	switch {
+	case gateway && rank == 0:
+		return 0
+	case gateway:
+		return secondGatewayDelay
+	default:
+		return strayDelay + a.rng.jitter(strayDelay/2)
+	}
+}
+
+// pull asks the next source for a version and arms the retry.
+func (a *Agent) pull(now time.Time, id snapshot.ID, out *effects) {
+	self := a.self.get()
+	attempts, source := 0, ""
+	alive := a.transfers.with(id, func(tr *transfer) {
+		tr.attempts++
+		attempts = tr.attempts
+		source = tr.nextSource()
+	})
+	if !alive {
+		return
+	}
+	if attempts > maxTransferAttempts {
+		a.transfers.drop(id)
+		out.log(effect.EventTransferGivenUp, "version", id.Version)
+		return
+	}
+	if attempts == transferAttemptsBeforePlatform {
+		out.read(effect.ReadPlatform{Query: effect.QueryManifest})
+	}
+	wait := transferRetry
+	if to, ok := a.pullTarget(now, source, attempts, self); ok {
+		if to.Region != self.Region {
+			wait = transferRetryFar
+		}
+		out.send(self, to, &message.PullRequest{VM: self.VM, Want: id, Have: a.store.CurrentID()})
+	}
+	out.timer(a.rng.jitter(wait), effect.Timer{Kind: effect.TimerTransfer, ID: id})
+}
+
+// pullTarget prefers the known holders; each third attempt, and each one
+// without a holder, goes to a random peer of the region.
+func (a *Agent) pullTarget(now time.Time, source string, attempts int, self member.Member) (member.Member, bool) {
+	if m, ok := a.table.Get(source); ok && m.Reachable() && attempts%3 != 0 {
+		return m, true
+	}
+	return a.randomPeer(a.table.View(now).Region(self.Region), self)
+}
+
+func (a *Agent) onTransferTimer(now time.Time, id snapshot.ID, out *effects) {
+	if !a.store.CurrentID().Less(id) {
+		a.transfers.drop(id)
+		return
+	}
+	a.pull(now, id, out)
+	a.readMissing(id, out)
+}
+
+// versionSeed gives each version a tree of its own.
+func versionSeed(id snapshot.ID) uint64 { return spread.Weight(string(id.Digest[:]), id.Version) }
--- /dev/null
+++ b/internal/control/platform_answers.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"maps"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config/manifest"
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/platform"
+	"github.com/filbertpier/filbertpier/internal/spread"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+func (a *Agent) onManifestAnswer(now time.Time, ans effect.PlatformAnswer, out *effects) {
+	watch := ans.Read.Wait > 0
+	if ans.Err != nil {
+		a.finishManifestRead(watch, now.Add(a.rng.jitter(platformBackoff)), nil)
+		out.log(effect.EventPlatformFailed, "query", "manifest", "error", ans.Err.Error())
+		return
+	}
+	a.platform.seen(now)
+	a.finishManifestRead(watch, now, &ans.Revision)
+	if !ans.Unchanged {
+		a.onPublished(now, ans.Value, out)
+	}
+	if watch {
+		view, self := a.table.View(now), a.self.get()
+		a.readIfDue(now, view, self, out)
+	}
+}
+
+// finishManifestRead ends a read; the next may start at notBefore. The revision
+// follows the platform's, also backwards: a restarted platform may count anew.
+func (a *Agent) finishManifestRead(watch bool, notBefore time.Time, revision *uint64) {
+	p := &a.platform
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if revision != nil {
+		p.manifestRevision = *revision
+	}
+	if watch {
+		p.manifestPending = time.Time{}
+		p.manifestNotBefore = notBefore
+	}
+}
+
+// onPublished handles a manifest from the platform: its version becomes pending
+// until all of its sections are there.
+func (a *Agent) onPublished(now time.Time, raw []byte, out *effects) {
+	env, err := manifest.DecodeEnvelope(raw)
+	if err != nil {
+		out.log(effect.EventVersionRefused, "error", err.Error())
+		return
+	}
+	m, err := a.cfg.Keys.Verify(env)
+	if err != nil {
+		out.log(effect.EventVersionRefused, "digest", env.Digest().String(), "error", err.Error())
+		return
+	}
+	id := snapshot.ID{Version: m.Version, Digest: env.Digest()}
+	current := a.store.CurrentID()
+	if id.Version == current.Version && id != current {
+		out.log(effect.EventVersionConflict, "version", id.Version, "digest", id.Digest.String(), "own_digest", current.Digest.String())
+	}
+	if !current.Less(id) || a.refused.has(id) {
+		return
+	}
+	created := false
+	a.transfers.update(id, func(tr *transfer, isNew bool) {
+		created = isNew
+		tr.envelope, tr.manifest = env, m
+		if tr.sections == nil {
+			tr.sections = map[manifest.Digest][]byte{}
+		}
+	})
+	if a.adopt(now, env, nil, spread.FromPlatform, out) {
+		return
+	}
+	if a.self.get().Region == a.cfg.PlatformRegion || current.IsZero() {
+		a.readMissing(id, out)
+	}
+	if created {
+		out.timer(a.farDelay(now, id), effect.Timer{Kind: effect.TimerTransfer, ID: id})
+	}
+}
+
+// farDelay gives peers the time to bring the sections before they are read from
+// the platform: in its own region they are being read already.
+func (a *Agent) farDelay(now time.Time, id snapshot.ID) time.Duration {
+	self := a.self.get()
+	if self.Region == a.cfg.PlatformRegion {
+		return transferRetryFar
+	}
+	if rank, ok := spread.IsGateway(a.table.View(now), self, versionSeed(id)); ok && rank == 0 {
+		return secondGatewayDelay
+	}
+	return strayDelay
+}
+
+// readMissing reads the absent sections of a pending version whose manifest
+// came from the platform.
+func (a *Agent) readMissing(id snapshot.ID, out *effects) {
+	a.transfers.with(id, func(tr *transfer) {
+		for _, d := range tr.missing(a.holdsSection) {
+			out.read(effect.ReadPlatform{Query: effect.QuerySection, Section: d, ID: id})
+		}
+	})
+}
+
+func (a *Agent) holdsSection(d manifest.Digest) bool {
+	_, ok := a.store.Section(d)
+	return ok
+}
+
+func (a *Agent) onSectionAnswer(now time.Time, ans effect.PlatformAnswer, out *effects) {
+	id := ans.Read.ID
+	if ans.Err != nil {
+		out.log(effect.EventPlatformFailed, "query", "section", "section", ans.Read.Section.String(), "error", ans.Err.Error())
+		return
+	}
+	if manifest.Sum(ans.Value) != ans.Read.Section {
+		out.log(effect.EventSectionInvalid, "version", id.Version, "section", ans.Read.Section.String())
+		return
+	}
+	var env *manifest.Envelope
+	var sections map[manifest.Digest][]byte
+	a.transfers.with(id, func(tr *transfer) {
+		if tr.envelope == nil {
+			return
+		}
+		tr.sections[ans.Read.Section] = ans.Value
+		if len(tr.missing(a.holdsSection)) == 0 {
+			env, sections = tr.envelope, maps.Clone(tr.sections)
+		}
+	})
+	if env != nil {
+		a.adopt(now, env, sections, spread.FromPlatform, out)
+	}
+}
+
+func (a *Agent) onVMListAnswer(now time.Time, ans effect.PlatformAnswer, out *effects) {
+	p := &a.platform
+	if ans.Err != nil {
+		p.mu.Lock()
+		p.listNotBefore = now.Add(a.rng.jitter(platformBackoff))
+		p.mu.Unlock()
+		out.log(effect.EventPlatformFailed, "query", "vms", "error", ans.Err.Error())
+		return
+	}
+	p.mu.Lock()
+	p.listRevision = ans.Revision
+	p.mu.Unlock()
+	for _, vm := range ans.VMs {
+		a.applyListed(now, vm, out)
+	}
+}
+
+// applyListed merges an entry of the VM list. The list adds unknown VMs and
+// marks leaving ones; it never revives a member, because it lags.
+func (a *Agent) applyListed(now time.Time, vm platform.VM, out *effects) {
+	if vm.ID == a.self.get().VM {
+		if vm.State == platform.VMLeaving && vm.LeavingSince > int64(a.self.get().Boot) && a.self.get().Status != member.Leaving {
+			a.noteMember(now, a.self.leave(now.UnixMilli()), out)
+		}
+		return
+	}
+	held, known := a.table.Get(vm.ID)
+	switch {
+	case !known:
+		status := member.Alive
+		if vm.State == platform.VMLeaving {
+			status = member.Leaving
+		}
+		a.noteMember(now, member.Member{
+			VM: vm.ID, Zone: vm.Zone, Region: vm.Region, Service: vm.Service,
+			PeerAddr: vm.PeerAddr, CallAddr: vm.CallAddr, Status: status, ChangedAt: now.UnixMilli(),
+		}, out)
+	case vm.State == platform.VMLeaving && held.Status < member.Leaving && vm.LeavingSince > int64(held.Boot):
+		held.Status = member.Leaving
+		held.ChangedAt = now.UnixMilli()
+		a.noteMember(now, held, out)
+	}
+}
--- /dev/null
+++ b/internal/control/platform_read.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/reader"
+)
+
+// readIfDue starts the reads that this node is responsible for, and arms the
+// fallback if nobody seems to read.
+func (a *Agent) readIfDue(now time.Time, view *member.View, self member.Member, out *effects) {
+	isReader := reader.IsReader(view, self, now)
+	p := &a.platform
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Before(p.readerNotBefore) || len(view.All()) <= 1 && now.Before(p.aloneNotBefore) {
+		return
+	}
+	near := self.Region == a.cfg.PlatformRegion
+	if isReader {
+		a.watchManifest(now, near, out)
+		a.readList(now, near, out)
+		return
+	}
+	if p.fallbackArmed || now.Sub(p.lastSeen) <= reader.StaleAfter {
+		return
+	}
+	p.fallbackArmed = true
+	out.timer(reader.FallbackDelay(len(view.All()), a.rng.fork()), effect.Timer{Kind: effect.TimerFallback})
+}
+
+// watchManifest keeps one watch open. The caller holds platform.mu.
+func (a *Agent) watchManifest(now time.Time, near bool, out *effects) {
+	p := &a.platform
+	wait := watchWait
+	if !near {
+		wait = watchWaitFar
+	}
+	lost := now.Sub(p.manifestPending) > 2*wait
+	if (!p.manifestPending.IsZero() && !lost) || now.Before(p.manifestNotBefore) {
+		return
+	}
+	p.manifestPending = now
+	out.read(effect.ReadPlatform{Query: effect.QueryManifest, AfterRevision: p.manifestRevision, Wait: wait})
+}
+
+// readList reads the VM list from time to time. The caller holds platform.mu.
+func (a *Agent) readList(now time.Time, near bool, out *effects) {
+	p := &a.platform
+	interval := vmListInterval
+	if !near {
+		interval = vmListIntervalFar
+	}
+	if now.Sub(p.listPending) < interval || now.Before(p.listNotBefore) {
+		return
+	}
+	p.listPending = now
+	out.read(effect.ReadPlatform{Query: effect.QueryVMList, AfterRevision: p.listRevision})
+}
+
+// onFallbackTimer reads once unless another node was faster.
+func (a *Agent) onFallbackTimer(now time.Time, out *effects) {
+	p := &a.platform
+	p.mu.Lock()
+	p.fallbackArmed = false
+	stale := now.Sub(p.lastSeen) > reader.StaleAfter
+	p.mu.Unlock()
+	if !stale {
+		return
+	}
+	out.log(effect.EventFallbackRead)
+	out.read(effect.ReadPlatform{Query: effect.QueryManifest})
+	if a.alone(now) {
+		out.read(effect.ReadPlatform{Query: effect.QueryVMList})
+	}
+}
+
+func (a *Agent) alone(now time.Time) bool { return len(a.table.View(now).All()) <= 1 }
--- /dev/null
+++ b/internal/control/platform_state.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"sync"
+	"time"
+)
+
+// platformState is what the node knows about reading the platform.
+type platformState struct {
+	// mu guards all fields.
+	mu sync.Mutex
+	// lastSeen is when a read by any node last succeeded.
+	lastSeen         time.Time
+	manifestRevision uint64
+	listRevision     uint64
+	// manifestPending and listPending are when reads without an answer started.
+	manifestPending time.Time
+	listPending     time.Time
+	// manifestNotBefore and listNotBefore delay the next reads.
+	manifestNotBefore time.Time
+	listNotBefore     time.Time
+	fallbackArmed     bool
+	// readerNotBefore keeps a starting node from reading while it knows only
+	// part of the fleet; aloneNotBefore while it knows no other node.
+	readerNotBefore time.Time
+	aloneNotBefore  time.Time
+}
+
+// seen moves lastSeen forward.
+func (p *platformState) seen(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at.After(p.lastSeen) {
+		p.lastSeen = at
+	}
+}
+
+// age returns the age of the last successful read known; ok is false if there
+// is none.
+func (p *platformState) age(now time.Time) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lastSeen.IsZero() {
+		return 0, false
+	}
+	return now.Sub(p.lastSeen), true
+}
--- /dev/null
+++ b/internal/control/transfer.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"slices"
+
+	"github.com/filbertpier/filbertpier/config/manifest"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// transfer is the state of fetching one version.
+type transfer struct {
+	id       snapshot.ID
+	sources  []string
+	next     int
+	attempts int
+	// envelope, manifest and sections hold what came from the platform.
+	envelope *manifest.Envelope
+	manifest *manifest.Manifest
+	sections map[manifest.Digest][]byte
+}
+
+// missing returns the sections that neither the transfer nor held has.
+func (t *transfer) missing(held func(manifest.Digest) bool) []manifest.Digest {
+	if t.manifest == nil {
+		return nil
+	}
+	var out []manifest.Digest
+	for _, ref := range t.manifest.Sections {
+		if _, ok := t.sections[ref.Digest]; !ok && !held(ref.Digest) {
+			out = append(out, ref.Digest)
+		}
+	}
+	return out
+}
+
+func (t *transfer) addSource(vm string) {
+	if vm != "" && len(t.sources) < maxTransferSources && !slices.Contains(t.sources, vm) {
+		t.sources = append(t.sources, vm)
+	}
+}
+
+// nextSource returns the sources in turn, or an empty string.
+func (t *transfer) nextSource() string {
+	if len(t.sources) == 0 {
+		return ""
+	}
+	vm := t.sources[t.next%len(t.sources)]
+	t.next++
+	return vm
+}
--- /dev/null
+++ b/internal/control/transfers.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+const transferShardCount = 8
+
+// transfers holds the versions being fetched, in shards by digest.
+type transfers struct {
+	shards [transferShardCount]transferShard
+}
+
+func newTransfers() *transfers {
+	t := &transfers{}
+	for i := range t.shards {
+		t.shards[i].byID = map[snapshot.ID]*transfer{}
+	}
+	return t
+}
+
+func (t *transfers) shard(id snapshot.ID) *transferShard {
+	return &t.shards[id.Digest[0]%transferShardCount]
+}
+
+// update calls f with the transfer of an ID, which is created if absent;
+// created tells which. f must not block.
+func (t *transfers) update(id snapshot.ID, f func(tr *transfer, created bool)) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tr, ok := s.byID[id]
+	if !ok {
+		tr = &transfer{id: id}
+		s.byID[id] = tr
+	}
+	f(tr, !ok)
+}
+
+// with calls f with the transfer of an ID if there is one.
+func (t *transfers) with(id snapshot.ID, f func(tr *transfer)) bool {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tr, ok := s.byID[id]
+	if ok {
+		f(tr)
+	}
+	return ok
+}
+
+func (t *transfers) drop(id snapshot.ID) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byID, id)
+}
+
+// dropUpTo removes all transfers that a version in force makes useless.
+func (t *transfers) dropUpTo(id snapshot.ID) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for other := range s.byID {
+			if !id.Less(other) {
+				delete(s.byID, other)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/control/update_queue.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/spread"
+)
+
+// updateQueue coalesces member records before they are passed on.
+type updateQueue struct {
+	// mu guards pending and origin.
+	mu      sync.Mutex
+	pending map[string]member.Member
+	origin  spread.Origin
+}
+
+func newUpdateQueue() *updateQueue {
+	return &updateQueue{pending: map[string]member.Member{}, origin: spread.FromPeer}
+}
+
+// add queues records and reports whether the queue was empty. The batch takes
+// the origin that reaches the most nodes.
+func (q *updateQueue) add(origin spread.Origin, members ...member.Member) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	wasEmpty := len(q.pending) == 0
+	for _, m := range members {
+		if old, ok := q.pending[m.VM]; !ok || m.Supersedes(old) {
+			q.pending[m.VM] = m
+		}
+	}
+	q.origin = min(q.origin, origin)
+	return wasEmpty && len(q.pending) > 0
+}
+
+func (q *updateQueue) take() ([]member.Member, spread.Origin) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := make([]member.Member, 0, len(q.pending))
+	for _, m := range q.pending {
+		out = append(out, m)
+	}
+	origin := q.origin
+	q.pending = map[string]member.Member{}
+	q.origin = spread.FromPeer
+	return out, origin
+}
--- /dev/null
+++ b/internal/effect/event.go
@@ -0,0 +1,21 @@
+package effect
+
+// Event is the stable name of a decision of the control logic, used in logs and
+// as a metric label.
+type Event string
+
+// The events.
+const (
+	EventVersionAdopted  Event = "version-adopted"
+	EventVersionRefused  Event = "version-refused"
+	EventVersionConflict Event = "version-conflict"
+	EventMemberChanged   Event = "member-changed"
+	EventMemberRefuted   Event = "member-refuted"
+	EventReady           Event = "ready"
+	EventPauseDetected   Event = "pause-detected"
+	EventPlatformFailed  Event = "platform-read-failed"
+	EventFallbackRead    Event = "platform-fallback-read"
+	EventSectionInvalid  Event = "section-invalid"
+	EventTransferStarted Event = "transfer-started"
+	EventTransferGivenUp Event = "transfer-abandoned"
+)
--- /dev/null
+++ b/internal/effect/platform_answer.go
@@ -0,0 +1,17 @@
+package effect
+
+import "github.com/filbertpier/filbertpier/internal/platform"
+
+// PlatformAnswer is the outcome of a ReadPlatform.
+type PlatformAnswer struct {
+	Read ReadPlatform
+	// Err is set if the platform could not be read; the rest is then empty.
+	Err error
+	// Unchanged is set if a watch ended without a newer revision.
+	Unchanged bool
+	Revision  uint64
+	// Value holds the bytes of a manifest or section.
+	Value []byte
+	// VMs holds the VM list.
+	VMs []platform.VM
+}
--- /dev/null
+++ b/internal/effect/timer.go
@@ -0,0 +1,14 @@
+package effect
+
+import "github.com/filbertpier/filbertpier/snapshot"
+
+// Timer names a timer of the control logic.
+type Timer struct {
+	Kind TimerKind
+	// ID is set for TimerTransfer.
+	ID snapshot.ID
+	// VM, Boot and Incarnation are set for TimerSuspicion.
+	VM          string
+	Boot        uint64
+	Incarnation uint64
+}
--- /dev/null
+++ b/internal/member/table_shard.go
@@ -0,0 +1,58 @@
+package member
+
+import "sync"
+
+// tableShard holds part of the members.
+type tableShard struct {
+	// mu guards byVM and digest.
+	mu     sync.RWMutex
+	byVM   map[string]Member
+	digest uint64
+}
+
+func (s *tableShard) apply(m Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.byVM[m.VM]
+	if known && !m.Supersedes(old) {
+		return false
+	}
+	if known {
+		s.digest ^= old.hash()
+	}
+	s.byVM[m.VM] = m
+	s.digest ^= m.hash()
+	return true
+}
+
+func (s *tableShard) get(vm string) (Member, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	m, ok := s.byVM[vm]
+	return m, ok
+}
+
+func (s *tableShard) appendTo(out []Member) []Member {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, m := range s.byVM {
+		out = append(out, m)
+	}
+	return out
+}
+
+// expire drops dead members whose status is older than a Unix time in
+// milliseconds.
+func (s *tableShard) expire(before int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
+	for vm, m := range s.byVM {
+		if m.Status == Dead && m.ChangedAt < before {
+			s.digest ^= m.hash()
+			delete(s.byVM, vm)
+			changed = true
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/internal/message/announce.go
@@ -0,0 +1,12 @@
+package message
+
+import "github.com/filbertpier/filbertpier/snapshot"
+
+// Announce tells a peer that the sender holds a version.
+type Announce struct {
+	VM string      `json:"vm"`
+	ID snapshot.ID `json:"id"`
+}
+
+// Kind implements Message.
+func (*Announce) Kind() Kind { return KindAnnounce }
--- /dev/null
+++ b/internal/message/join_response.go
@@ -0,0 +1,17 @@
+package message
+
+import (
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// JoinResponse carries the sender's member table and version.
+type JoinResponse struct {
+	From    member.Member   `json:"from"`
+	Current snapshot.ID     `json:"current"`
+	Ready   bool            `json:"ready"`
+	Members []member.Member `json:"members"`
+}
+
+// Kind implements Message.
+func (*JoinResponse) Kind() Kind { return KindJoinResponse }
--- /dev/null
+++ b/internal/message/kind.go
@@ -0,0 +1,46 @@
+package message
+
+// Kind names a message type on the wire.
+type Kind string
+
+// The kinds.
+const (
+	KindHeartbeat     Kind = "heartbeat"
+	KindAnnounce      Kind = "announce"
+	KindPullRequest   Kind = "pullRequest"
+	KindPullResponse  Kind = "pullResponse"
+	KindMemberUpdates Kind = "memberUpdates"
+	KindTableDigests  Kind = "tableDigests"
+	KindJoinRequest   Kind = "joinRequest"
+	KindJoinResponse  Kind = "joinResponse"
+)
+
+// Bulk reports whether messages of the kind may be large. They travel on a
+// connection of their own, so that heartbeats and member updates never wait
+// behind a document.
+func (k Kind) Bulk() bool {
+	return k == KindPullResponse || k == KindJoinResponse
+}
+
+// New returns an empty message of the kind, or an *UnknownKindError.
+func New(k Kind) (Message, error) {
+	switch k {
+	case KindHeartbeat:
+		return &Heartbeat{}, nil
+	case KindAnnounce:
+		return &Announce{}, nil
+	case KindPullRequest:
+		return &PullRequest{}, nil
+	case KindPullResponse:
+		return &PullResponse{}, nil
+	case KindMemberUpdates:
+		return &MemberUpdates{}, nil
+	case KindTableDigests:
+		return &TableDigests{}, nil
+	case KindJoinRequest:
+		return &JoinRequest{}, nil
+	case KindJoinResponse:
+		return &JoinResponse{}, nil
+	}
+	return nil, &UnknownKindError{Kind: k}
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,7 @@
+package message
+
+// Message is one of the message types of this package.
+type Message interface {
+	// Kind is the JSON-RPC method of the message.
+	Kind() Kind
+}
--- /dev/null
+++ b/internal/peer/limits.go
@@ -0,0 +1,22 @@
+package peer
+
+import "time"
+
+const (
+	// queueLength bounds the messages that wait for one connection. Beyond it
+	// messages are dropped; heartbeats and anti-entropy make up for them.
+	queueLength = 256
+	// dialTimeout bounds a connection attempt; a connection takes about 1 ms
+	// within a region and one round trip of 60 ms across regions.
+	dialTimeout = time.Second
+	// silenceLimit is how long a probe may stay unanswered before the
+	// connection counts as silent: three heartbeat intervals.
+	silenceLimit = 3 * time.Second
+	// idleLimit closes connections to peers that are no longer talked to.
+	idleLimit = 30 * time.Second
+	// redialBase and redialMax bound the jittered backoff after a failed dial.
+	redialBase = 100 * time.Millisecond
+	redialMax  = 5 * time.Second
+	// probeMethod is answered by the transport itself.
+	probeMethod = "probe"
+)
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/filbertpier/filbertpier/internal/message"
+)
+
+// link is the outgoing side of one connection: a bounded queue and the
+// goroutine that writes it. The connection is dialled again when it fails.
+type link struct {
+	addr        string
+	crossRegion bool
+	dialer      *net.Dialer
+	traffic     Traffic
+	queue       chan message.Message
+	done        chan struct{}
+	// probing is set while a probe is unanswered.
+	probing atomic.Bool
+}
+
+func newLink(addr string, crossRegion bool, dialer *net.Dialer, traffic Traffic) *link {
+	return &link{
+		addr: addr, crossRegion: crossRegion, dialer: dialer, traffic: traffic,
+		queue: make(chan message.Message, queueLength),
+		done:  make(chan struct{}),
+	}
+}
+
+// enqueue adds a message or drops it if the queue is full.
+func (l *link) enqueue(m message.Message) {
+	select {
+	case l.queue <- m:
+	default:
+		l.traffic.Dropped()
+	}
+}
+
+// run writes messages until the link is idle or ctx ends.
+func (l *link) run(ctx context.Context) {
+	defer close(l.done)
+	failures := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(idleLimit):
+			return
+		case m := <-l.queue:
+			if l.writeFrom(ctx, m) {
+				failures = 0
+				continue
+			}
+			failures++
+			if !l.backOff(ctx, failures) {
+				return
+			}
+		}
+	}
+}
+
+// writeFrom dials, writes m and then the queue until the connection fails, goes
+// silent or is idle. It reports whether the connection had been established.
+func (l *link) writeFrom(ctx context.Context, m message.Message) bool {
+	raw, err := l.dialer.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		return false
+	}
+	conn := jsonrpc2.NewConn(ctx, newStream(&countingConn{Conn: raw, traffic: l.traffic, crossRegion: l.crossRegion}), nopHandler{})
+	defer func() { _ = conn.Close() }()
+	l.probing.Store(false)
+	for {
+		if err := conn.Notify(ctx, string(m.Kind()), m); err != nil {
+			return true
+		}
+		if len(l.queue) == 0 {
+			l.probe(ctx, conn)
+		}
+		select {
+		case m = <-l.queue:
+		case <-conn.DisconnectNotify():
+			return true
+		case <-time.After(idleLimit):
+			return true
+		case <-ctx.Done():
+			return true
+		}
+	}
+}
+
+// probe asks for a sign of life after a burst of messages and closes the
+// connection if none comes: messages themselves are not answered on it.
+func (l *link) probe(ctx context.Context, conn *jsonrpc2.Conn) {
+	if !l.probing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer l.probing.Store(false)
+		ctx, cancel := context.WithTimeout(ctx, silenceLimit)
+		defer cancel()
+		if err := conn.Call(ctx, probeMethod, nil, nil); err != nil && ctx.Err() == context.DeadlineExceeded {
+			l.traffic.SilentConnection()
+			_ = conn.Close()
+		}
+	}()
+}
+
+// backOff waits after a failed dial and reports whether to go on.
+func (l *link) backOff(ctx context.Context, failures int) bool {
+	d := min(redialBase<<min(failures, 6), redialMax)
+	d = d/2 + rand.N(d)
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// ended reports whether run has returned.
+func (l *link) ended() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/peer/link_key.go
@@ -0,0 +1,7 @@
+package peer
+
+// linkKey identifies an outgoing connection.
+type linkKey struct {
+	addr  string
+	class class
+}
--- /dev/null
+++ b/internal/peer/nop_handler.go
@@ -0,0 +1,12 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// nopHandler ignores requests on outgoing connections: peers send on their own.
+type nopHandler struct{}
+
+func (nopHandler) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
--- /dev/null
+++ b/internal/platform/http_client.go
@@ -0,0 +1,100 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// callTimeout bounds a read beyond the time that it is asked to wait.
+	callTimeout = 2 * time.Second
+	// callRate and callBurst bound the reads of one node: only two nodes in a
+	// region read in calm, and a version that changes every section needs some
+	// hundred reads at once.
+	callRate  = 100
+	callBurst = 200
+	// maxAnswerBytes bounds an answer: the VM list of 7,300 VMs has about 1.5 MB.
+	maxAnswerBytes = 8 << 20
+)
+
+// HTTPClient reads the platform over HTTP. It is safe for concurrent use.
+type HTTPClient struct {
+	http    *resty.Client
+	limiter *rate.Limiter
+}
+
+// NewHTTPClient returns a client for the platform at a base URL.
+func NewHTTPClient(baseURL string) *HTTPClient {
+	c := resty.New().SetBaseURL(baseURL).SetResponseBodyLimit(maxAnswerBytes)
+	return &HTTPClient{http: c, limiter: rate.NewLimiter(callRate, callBurst)}
+}
+
+// Get implements Client.
+func (c *HTTPClient) Get(ctx context.Context, key string) (Value, error) {
+	return c.value(ctx, key, "/v1/values/"+key, 0, nil)
+}
+
+// Watch implements Client.
+func (c *HTTPClient) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	return c.value(ctx, key, "/v1/watch/"+key, wait, watchQuery(after, wait))
+}
+
+// ListVMs implements Client.
+func (c *HTTPClient) ListVMs(ctx context.Context, after uint64, wait time.Duration) (VMList, error) {
+	resp, err := c.get(ctx, VMListKey, "/v1/vms", wait, watchQuery(after, wait))
+	if err != nil {
+		return VMList{}, err
+	}
+	var list VMList
+	if err := json.Unmarshal(resp.Body(), &list); err != nil {
+		return VMList{}, &MalformedError{Key: VMListKey, Err: err}
+	}
+	return list, nil
+}
+
+func (c *HTTPClient) value(ctx context.Context, key, path string, wait time.Duration, query map[string]string) (Value, error) {
+	resp, err := c.get(ctx, key, path, wait, query)
+	if err != nil {
+		return Value{}, err
+	}
+	rev, err := strconv.ParseUint(resp.Header().Get(RevisionHeader), 10, 64)
+	if err != nil {
+		return Value{}, &MalformedError{Key: key, Err: err}
+	}
+	return Value{Revision: rev, Data: resp.Body()}, nil
+}
+
+func (c *HTTPClient) get(ctx context.Context, key, path string, wait time.Duration, query map[string]string) (*resty.Response, error) {
+	if err := c.limiter.Wait(ctx); err != nil {
+		return nil, &UnavailableError{Key: key, Err: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	resp, err := c.http.R().SetContext(ctx).SetQueryParams(query).Get(path)
+	if err != nil {
+		return nil, &UnavailableError{Key: key, Err: err}
+	}
+	switch resp.StatusCode() {
+	case http.StatusOK:
+		return resp, nil
+	case http.StatusNotModified:
+		rev, _ := strconv.ParseUint(resp.Header().Get(RevisionHeader), 10, 64)
+		return nil, &UnchangedError{Key: key, Revision: rev}
+	case http.StatusNotFound:
+		return nil, &NotFoundError{Key: key}
+	}
+	return nil, &UnavailableError{Key: key, Status: resp.StatusCode()}
+}
+
+func watchQuery(after uint64, wait time.Duration) map[string]string {
+	return map[string]string{
+		"after":  strconv.FormatUint(after, 10),
+		"waitMs": strconv.FormatInt(wait.Milliseconds(), 10),
+	}
+}
--- /dev/null
+++ b/internal/platform/keys.go
@@ -0,0 +1,15 @@
+package platform
+
+import "github.com/filbertpier/filbertpier/config/manifest"
+
+// ManifestKey is the key of the signed envelope of the published version.
+const ManifestKey = "manifest"
+
+// VMListKey names the VM list in errors and metrics.
+const VMListKey = "vms"
+
+// RevisionHeader carries the revision of a value in answers.
+const RevisionHeader = "X-Revision"
+
+// SectionKey returns the key of a section's content.
+func SectionKey(d manifest.Digest) string { return "sections/" + d.String() }
--- /dev/null
+++ b/internal/platform/value.go
@@ -0,0 +1,7 @@
+package platform
+
+// Value is a configuration value at a revision.
+type Value struct {
+	Revision uint64
+	Data     []byte
+}
--- /dev/null
+++ b/internal/runtime/runtime.go
@@ -0,0 +1,126 @@
+package runtime
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/filbertpier/filbertpier/internal/control"
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/internal/platform"
+	"github.com/filbertpier/filbertpier/internal/telemetry"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+const (
+	// workers handle messages and timers of one node; the logic never blocks.
+	workers = 4
+	// workerQueue bounds the messages that wait for a worker; beyond it
+	// messages are dropped, as at a full connection.
+	workerQueue = 4096
+	// platformWorkers bounds concurrent platform reads of one node.
+	platformWorkers = 16
+)
+
+// Runtime drives an agent in real time, or in virtual time inside a
+// testing/synctest bubble. It is safe for concurrent use.
+type Runtime struct {
+	agent    *control.Agent
+	sender   Sender
+	platform platform.Client
+	log      hclog.Logger
+	metrics  *telemetry.Metrics
+	ctx      context.Context
+	cancel   context.CancelFunc
+	pool     pond.Pool
+	reads    pond.Pool
+	timers   timerSet
+	stopOnce sync.Once
+}
+
+// New returns a runtime that is not started.
+func New(agent *control.Agent, client platform.Client, log hclog.Logger, metrics *telemetry.Metrics) *Runtime {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Runtime{
+		agent: agent, platform: client, log: log, metrics: metrics,
+		ctx: ctx, cancel: cancel,
+		pool:   pond.NewPool(workers, pond.WithQueueSize(workerQueue), pond.WithNonBlocking(true)),
+		reads:  pond.NewPool(platformWorkers),
+		timers: newTimerSet(),
+	}
+}
+
+// Start starts the agent with a sender for its messages.
+func (r *Runtime) Start(sender Sender) {
+	r.sender = sender
+	r.apply(r.agent.Start(time.Now()))
+}
+
+// Receive queues a message from a peer; it never blocks.
+func (r *Runtime) Receive(m message.Message) {
+	if _, ok := r.pool.TrySubmit(func() { r.apply(r.agent.HandleMessage(time.Now(), m)) }); !ok {
+		r.metrics.Dropped()
+	}
+}
+
+// Leave announces that the node is about to stop.
+func (r *Runtime) Leave() { r.apply(r.agent.Leave(time.Now())) }
+
+// CatchUp asks peers for a version that a call requires.
+func (r *Runtime) CatchUp(id snapshot.ID) { r.apply(r.agent.CatchUp(time.Now(), id)) }
+
+// Stop ends timers, reads and workers.
+func (r *Runtime) Stop() {
+	r.stopOnce.Do(func() {
+		r.cancel()
+		r.timers.stop()
+		r.reads.StopAndWait()
+		r.pool.StopAndWait()
+	})
+}
+
+func (r *Runtime) apply(effects []effect.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case effect.Send:
+			r.sender.Send(e)
+		case effect.StartTimer:
+			r.startTimer(e)
+		case effect.ReadPlatform:
+			r.startRead(e)
+		case effect.Log:
+			r.logEvent(e)
+		}
+	}
+}
+
+func (r *Runtime) startTimer(e effect.StartTimer) {
+	r.timers.start(e.After, func() {
+		r.apply(r.agent.HandleTimer(time.Now(), e.Timer))
+	})
+}
+
+func (r *Runtime) startRead(e effect.ReadPlatform) {
+	if r.ctx.Err() != nil {
+		return
+	}
+	r.metrics.PlatformReads.WithLabelValues(e.Query.String()).Inc()
+	_ = r.reads.Go(func() {
+		ans := read(r.ctx, r.platform, e)
+		if r.ctx.Err() == nil {
+			r.apply(r.agent.HandlePlatform(time.Now(), ans))
+		}
+	})
+}
+
+func (r *Runtime) logEvent(e effect.Log) {
+	r.metrics.Decisions.WithLabelValues(string(e.Event)).Inc()
+	if e.Event == effect.EventVersionAdopted {
+		r.metrics.Version.Set(float64(r.agent.Store().CurrentID().Version))
+	}
+	r.log.Info(string(e.Event), e.Fields...)
+}
--- /dev/null
+++ b/internal/spread/delta.go
@@ -0,0 +1,48 @@
+package spread
+
+import (
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/filbertpier/filbertpier/config"
+)
+
+// dictID marks frames that use the previous content as dictionary.
+const dictID = 1
+
+// maxDecoded bounds what a frame may expand to, in bytes: a section, or an
+// envelope with its base64 manifest, is at most about this long.
+const maxDecoded = 4 * config.MaxSectionBytes
+
+// EncodeDelta compresses data, with base as dictionary if it is not empty. It
+// is safe for concurrent use.
+func EncodeDelta(base, data []byte) ([]byte, error) {
+	opts := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithLowerEncoderMem(true)}
+	if len(base) > 0 {
+		opts = append(opts, zstd.WithEncoderDictRaw(dictID, base))
+	}
+	enc, err := zstd.NewWriter(nil, opts...)
+	if err != nil {
+		return nil, &DeltaError{Op: "encode", Err: err}
+	}
+	defer func() { _ = enc.Close() }()
+	return enc.EncodeAll(data, nil), nil
+}
+
+// DecodeDelta reverses EncodeDelta with the same base. It returns a
+// *DeltaError and never expands to more than a few megabytes.
+func DecodeDelta(base, frame []byte) ([]byte, error) {
+	opts := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxDecoded), zstd.WithDecoderLowmem(true)}
+	if len(base) > 0 {
+		opts = append(opts, zstd.WithDecoderDictRaw(dictID, base))
+	}
+	dec, err := zstd.NewReader(nil, opts...)
+	if err != nil {
+		return nil, &DeltaError{Op: "decode", Err: err}
+	}
+	defer dec.Close()
+	out, err := dec.DecodeAll(frame, nil)
+	if err != nil {
+		return nil, &DeltaError{Op: "decode", Err: err}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/spread/targets.go
@@ -0,0 +1,70 @@
+package spread
+
+import (
+	"math/rand/v2"
+
+	"github.com/filbertpier/filbertpier/internal/member"
+)
+
+const (
+	// Fanout is the number of children of a node in its zone's tree: 608 nodes
+	// are reached in five levels.
+	Fanout = 4
+	// Roots is the number of nodes told first in each zone and region; two, so
+	// that one dead root does not cost a heartbeat interval.
+	Roots = 2
+	// randomTargets are told besides the children, so that a dead inner node
+	// of the tree does not cut off its subtree until the next heartbeat.
+	randomTargets = 2
+)
+
+// Targets returns the members that self tells about an item with the given
+// seed, without self and without duplicates.
+func Targets(view *member.View, self member.Member, seed uint64, origin Origin, rng *rand.Rand) []member.Member {
+	c := targetCollector{self: self.VM, seen: map[string]bool{self.VM: true}}
+	zone := Order(view.Zone(self.Zone), seed)
+	if origin != FromPeer {
+		c.add(firstN(zone, Roots)...)
+	}
+	if origin == FromPlatform || origin == FromRegion {
+		for _, z := range view.Zones(self.Region) {
+			if z != self.Zone {
+				c.add(firstN(Order(view.Zone(z), seed), Roots)...)
+			}
+		}
+	}
+	if origin == FromPlatform {
+		for _, r := range view.Regions() {
+			if r != self.Region {
+				c.add(firstN(Order(view.Region(r), seed), Roots)...)
+			}
+		}
+	}
+	c.add(children(zone, self.VM)...)
+	for range randomTargets {
+		if len(zone) > 0 {
+			c.add(zone[rng.IntN(len(zone))])
+		}
+	}
+	return c.out
+}
+
+// IsGateway reports whether self is one of the nodes of its region that other
+// regions tell about an item with the given seed, and its position among them.
+func IsGateway(view *member.View, self member.Member, seed uint64) (int, bool) {
+	rank := Rank(view.Region(self.Region), self.VM, seed)
+	return rank, rank >= 0 && rank < Roots
+}
+
+func children(order []member.Member, vm string) []member.Member {
+	for i := range order {
+		if order[i].VM != vm {
+			continue
+		}
+		from := min(Fanout*i+1, len(order))
+		return order[from:min(from+Fanout, len(order))]
+	}
+	return nil
+}
+
+func firstN(order []member.Member, n int) []member.Member { return order[:min(n, len(order))] }
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,81 @@
+package telemetry
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the metrics of one node. It is safe for concurrent use.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	// Decisions counts decisions of the control logic by event.
+	Decisions *prometheus.CounterVec
+	// ControlBytes counts bytes sent to peers by whether they leave the region.
+	ControlBytes *prometheus.CounterVec
+	// DroppedMessages counts messages dropped at full queues.
+	DroppedMessages prometheus.Counter
+	// SilentConnections counts replaced connections.
+	SilentConnections prometheus.Counter
+	// PlatformReads counts platform reads by query.
+	PlatformReads *prometheus.CounterVec
+	// Version is the version number in force.
+	Version prometheus.Gauge
+	// Calls counts calls by route, rank and outcome.
+	Calls *prometheus.CounterVec
+	// CallSeconds is the time from entry to the end of the answer, in seconds.
+	CallSeconds *prometheus.HistogramVec
+	// LogLinesSampledOut counts decision log lines left out by sampling.
+	LogLinesSampledOut prometheus.Counter
+	// Violations counts broken invariants by name.
+	Violations *prometheus.CounterVec
+}
+
+// NewMetrics returns metrics with a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		Registry:           prometheus.NewRegistry(),
+		Decisions:          counterVec("control_decisions_total", "Decisions of the control logic.", "event"),
+		ControlBytes:       counterVec("control_sent_bytes_total", "Bytes sent to peers.", "cross_region"),
+		DroppedMessages:    counter("control_dropped_messages_total", "Messages dropped at full queues."),
+		SilentConnections:  counter("control_silent_connections_total", "Connections replaced because they went silent."),
+		PlatformReads:      counterVec("platform_reads_total", "Platform reads.", "query"),
+		Version:            prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "version", Help: "Version number in force."}),
+		Calls:              counterVec("calls_total", "Calls by route, rank and outcome.", "route", "rank", "outcome"),
+		CallSeconds:        callSeconds(),
+		LogLinesSampledOut: counter("log_lines_sampled_out_total", "Decision log lines left out by sampling."),
+		Violations:         counterVec("invariant_violations_total", "Broken invariants.", "invariant"),
+	}
+	m.Registry.MustRegister(m.Decisions, m.ControlBytes, m.DroppedMessages, m.SilentConnections, m.PlatformReads,
+		m.Version, m.Calls, m.CallSeconds, m.LogLinesSampledOut, m.Violations)
+	return m
+}
+
+// Sent implements peer.Traffic.
+func (m *Metrics) Sent(crossRegion bool, bytes int) {
+	m.ControlBytes.WithLabelValues(strconv.FormatBool(crossRegion)).Add(float64(bytes))
+}
+
+// Dropped implements peer.Traffic.
+func (m *Metrics) Dropped() { m.DroppedMessages.Inc() }
+
+// SilentConnection implements peer.Traffic.
+func (m *Metrics) SilentConnection() { m.SilentConnections.Inc() }
+
+const namespace = "filbertpier"
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func counterVec(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func callSeconds() *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "call_seconds", Help: "Time from entry to the end of the answer.",
+		Buckets: prometheus.ExponentialBuckets(0.0001, 2, 18),
+	}, []string{"rank"})
+}
