Add the call path, the stand-ins and the demonstration

Cause: a first whole path from caller to upstream as separate processes, before any part is deepened.

--- /dev/null
+++ b/cmd/fpnode/main.go
@@ -0,0 +1,63 @@
+// Command fpnode is the node that runs on each upstream VM.
+package main
+
+import (
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/filbertpier/filbertpier/internal/node"
+	"github.com/filbertpier/filbertpier/internal/settings"
+)
+
+// settingsVariable holds the settings on VMs without a disk.
+const settingsVariable = "FILBERTPIER_SETTINGS"
+
+func main() {
+	app := kingpin.New("fpnode", "filbertpier node: routes calls and distributes the configuration.")
+	path := app.Flag("settings", "Settings file in JSON with comments; - reads standard input. Without it, "+settingsVariable+" holds the settings.").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	log := hclog.New(&hclog.LoggerOptions{Name: "fpnode", JSONFormat: true, Output: os.Stderr})
+	if err := run(*path, log); err != nil {
+		log.Error("the node cannot start", "error", err.Error())
+		os.Exit(1)
+	}
+}
+
+func run(path string, log hclog.Logger) error {
+	raw, err := readSettings(path)
+	if err != nil {
+		return err
+	}
+	s, err := settings.Parse(raw)
+	if err != nil {
+		return err
+	}
+	log.SetLevel(hclog.LevelFromString(s.Log.Level))
+	n, err := node.Start(s, log)
+	if err != nil {
+		return err
+	}
+	log.Info("node started", "vm", s.VM, "zone", s.Zone, "region", s.Region)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	<-stop
+	log.Info("node stopping")
+	n.Stop()
+	return nil
+}
+
+func readSettings(path string) ([]byte, error) {
+	switch path {
+	case "":
+		return []byte(os.Getenv(settingsVariable)), nil
+	case "-":
+		return io.ReadAll(os.Stdin)
+	default:
+		return os.ReadFile(path)
+	}
+}
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,99 @@
+package call
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// MaxDepth bounds nested calls: the deepest call tree in use has 28 levels.
+const MaxDepth = 32
+
+// Call is what decisions need to know about a call.
+type Call struct {
+	Route *config.Route
+	Rank  *config.Rank
+	// Deadline is when the caller no longer needs an answer.
+	Deadline time.Time
+	// Key is the idempotency key, or empty.
+	Key string
+	// Version is the oldest version that the call accepts.
+	Version snapshot.ID
+	// Depth counts the calls that led to this one.
+	Depth int
+}
+
+// Parse reads a call's headers against a document. It returns a *Problem.
+func Parse(now time.Time, r *http.Request, doc *config.Document) (*Call, error) {
+	route, ok := doc.MatchRoute(r.Method, r.URL.Path)
+	if !ok {
+		return nil, NewProblem(ProblemNoRoute, RanNo, r.Method+" "+r.URL.Path, nil)
+	}
+	c := &Call{Route: route, Key: r.Header.Get(HeaderIdempotencyKey)}
+	if err := c.parseRank(r, doc); err != nil {
+		return nil, err
+	}
+	if err := c.parseDeadline(now, r); err != nil {
+		return nil, err
+	}
+	return c, c.parseDepth(r)
+}
+
+func (c *Call) parseRank(r *http.Request, doc *config.Document) error {
+	name := r.Header.Get(HeaderRank)
+	if name == "" {
+		name = c.Route.Rank
+	}
+	rank, ok := doc.Rank(name)
+	if !ok {
+		return NewProblem(ProblemBadRequest, RanNo, "unknown rank "+strconv.Quote(name), nil)
+	}
+	c.Rank = rank
+	return nil
+}
+
+func (c *Call) parseDeadline(now time.Time, r *http.Request) error {
+	left := c.Route.TimeoutMs
+	if text := r.Header.Get(HeaderDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms < 0 {
+			return NewProblem(ProblemBadRequest, RanNo, HeaderDeadline+" is not a number of milliseconds", err)
+		}
+		left = min(left, ms)
+	}
+	c.Deadline = now.Add(time.Duration(left) * time.Millisecond)
+	return nil
+}
+
+func (c *Call) parseDepth(r *http.Request) error {
+	text := r.Header.Get(HeaderDepth)
+	if text == "" {
+		return nil
+	}
+	depth, err := strconv.Atoi(text)
+	if err != nil || depth < 0 {
+		return NewProblem(ProblemBadRequest, RanNo, HeaderDepth+" is not a number", err)
+	}
+	if depth > MaxDepth {
+		return NewProblem(ProblemDepthExceeded, RanNo, "depth "+text, nil)
+	}
+	c.Depth = depth
+	return nil
+}
+
+// ParseVersion reads the oldest version that a call accepts; the zero ID means
+// any. It returns a *Problem.
+func ParseVersion(h http.Header) (snapshot.ID, error) {
+	text := h.Get(HeaderVersion)
+	if text == "" {
+		return snapshot.ID{}, nil
+	}
+	id, err := snapshot.ParseID(text)
+	if err != nil {
+		return snapshot.ID{}, NewProblem(ProblemBadRequest, RanNo, HeaderVersion+" is not a version", err)
+	}
+	return id, nil
+}
--- /dev/null
+++ b/internal/call/headers.go
@@ -0,0 +1,25 @@
+package call
+
+// Headers of calls and answers.
+const (
+	// HeaderRank names the rank; the route's rank is used without it.
+	HeaderRank = "Filbertpier-Rank"
+	// HeaderDeadline is the time left in milliseconds.
+	HeaderDeadline = "Filbertpier-Deadline"
+	// HeaderVersion is the version that an answer was served under, and the
+	// oldest one that a call accepts.
+	HeaderVersion = "Filbertpier-Version"
+	// HeaderDepth counts the calls that led to this one.
+	HeaderDepth = "Filbertpier-Depth"
+	// HeaderRan tells whether the call ran: no, yes or unknown.
+	HeaderRan = "Filbertpier-Ran"
+	// HeaderTarget names the VM beside whose upstream a call is to run; set by
+	// the entry node.
+	HeaderTarget = "Filbertpier-Target"
+	// HeaderRoute names the route that the entry node matched.
+	HeaderRoute = "Filbertpier-Route"
+	// HeaderIdempotencyKey identifies a non-idempotent call.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderPrefix is shared by the headers that only nodes may set on answers.
+	HeaderPrefix = "Filbertpier-"
+)
--- /dev/null
+++ b/internal/call/problem_type.go
@@ -0,0 +1,23 @@
+package call
+
+// ProblemType is the stable type URI of a problem.
+type ProblemType string
+
+// The problems.
+const (
+	ProblemBadRequest       ProblemType = "urn:filbertpier:problem:bad-request"
+	ProblemNoRoute          ProblemType = "urn:filbertpier:problem:no-route"
+	ProblemNotReady         ProblemType = "urn:filbertpier:problem:not-ready"
+	ProblemConfigBehind     ProblemType = "urn:filbertpier:problem:config-behind"
+	ProblemNoUpstream       ProblemType = "urn:filbertpier:problem:no-upstream"
+	ProblemOverloaded       ProblemType = "urn:filbertpier:problem:overloaded"
+	ProblemDeadline         ProblemType = "urn:filbertpier:problem:deadline-exceeded"
+	ProblemUpstreamFailed   ProblemType = "urn:filbertpier:problem:upstream-failed"
+	ProblemOutcomeUnknown   ProblemType = "urn:filbertpier:problem:outcome-unknown"
+	ProblemKeyRequired      ProblemType = "urn:filbertpier:problem:idempotency-key-required"
+	ProblemQuarantined      ProblemType = "urn:filbertpier:problem:quarantined"
+	ProblemLeaving          ProblemType = "urn:filbertpier:problem:upstream-leaving"
+	ProblemDepthExceeded    ProblemType = "urn:filbertpier:problem:depth-exceeded"
+	ProblemAnswerNotKept    ProblemType = "urn:filbertpier:problem:answer-not-kept"
+	ProblemTargetMismatched ProblemType = "urn:filbertpier:problem:target-mismatch"
+)
--- /dev/null
+++ b/internal/dataplane/catch_up.go
@@ -0,0 +1,34 @@
+package dataplane
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// snapshotFor returns the snapshot in force if it is as new as required, and
+// else waits for one for a short time. It returns a *call.Problem.
+func (s *Server) snapshotFor(ctx context.Context, required snapshot.ID) (*snapshot.Snapshot, error) {
+	store := s.control.Store()
+	if snap := store.Current(); snap != nil && !snap.ID.Less(required) {
+		return snap, nil
+	}
+	s.control.CatchUp(required)
+	timer := time.NewTimer(s.cfg.CatchUpLimit)
+	defer timer.Stop()
+	for {
+		changed := store.Changed()
+		if snap := store.Current(); snap != nil && !snap.ID.Less(required) {
+			return snap, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, call.NewProblem(call.ProblemConfigBehind, call.RanNo, "required "+required.String(), nil)
+		case <-ctx.Done():
+			return nil, call.NewProblem(call.ProblemConfigBehind, call.RanNo, "the caller left", ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/internal/dataplane/config.go
@@ -0,0 +1,23 @@
+package dataplane
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/telemetry"
+)
+
+// Config configures a Server. All fields are required unless stated.
+type Config struct {
+	// UpstreamAddr is the address of the upstream on the VM, ip:port.
+	UpstreamAddr string
+	// LocalIP is the address that outgoing connections use; empty lets the
+	// system choose.
+	LocalIP string
+	// CatchUpLimit bounds the wait for a version that a call requires. Longer
+	// refuses fewer calls right after a change and delays those it refuses.
+	// Zero means 500 ms.
+	CatchUpLimit time.Duration
+	Metrics      *telemetry.Metrics
+	Decisions    *telemetry.DecisionLog
+	Invariants   *telemetry.Invariants
+}
--- /dev/null
+++ b/internal/dataplane/control.go
@@ -0,0 +1,20 @@
+package dataplane
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// Control is what the data plane needs from the control logic. Implementations
+// are safe for concurrent use.
+type Control interface {
+	// Ready reports whether the node may serve calls.
+	Ready(now time.Time) bool
+	Store() *snapshot.Store
+	Table() *member.Table
+	Self() member.Member
+	// CatchUp asks peers for a version; it does not wait.
+	CatchUp(id snapshot.ID)
+}
--- /dev/null
+++ b/internal/dataplane/finish.go
@@ -0,0 +1,36 @@
+package dataplane
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/call"
+)
+
+// finish sends a problem, or ends the connection if the answer has begun, and
+// counts the outcome.
+func (s *Server) finish(start time.Time, w http.ResponseWriter, r *http.Request, x *exchange, err error) {
+	route, rank := "", ""
+	if x != nil {
+		route, rank = x.call.Route.Name, x.call.Rank.Name
+	}
+	outcome := "served"
+	var problem *call.Problem
+	if errors.As(err, &problem) {
+		outcome = string(problem.Type)
+	}
+	s.cfg.Metrics.Calls.WithLabelValues(route, rank, outcome).Inc()
+	s.cfg.Metrics.CallSeconds.WithLabelValues(rank).Observe(time.Since(start).Seconds())
+	if problem == nil {
+		return
+	}
+	s.cfg.Decisions.Line("call-failed", "route", route, "rank", rank, "type", problem.Type, "ran", problem.Ran, "detail", problem.Detail)
+	if x != nil && x.started {
+		panic(http.ErrAbortHandler)
+	}
+	if snap := s.control.Store().Current(); snap != nil {
+		w.Header().Set(call.HeaderVersion, snap.ID.String())
+	}
+	problem.Write(w)
+}
--- /dev/null
+++ b/internal/dataplane/forward.go
@@ -0,0 +1,104 @@
+package dataplane
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/member"
+)
+
+// serveLocal runs a call on the upstream beside this node.
+func (s *Server) serveLocal(x *exchange) error {
+	service, _ := x.snap.Document.Service(x.call.Route.Service)
+	if self := s.control.Self(); service.Selector != self.Service {
+		return call.NewProblem(call.ProblemTargetMismatched, call.RanNo, "this is "+self.VM, nil)
+	}
+	s.limiter.SetSlots(service.Slots)
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.call.Deadline)
+	defer cancel()
+	release, err := s.limiter.Acquire(ctx, x.call)
+	if err != nil {
+		return call.NewProblem(call.ProblemOverloaded, call.RanNo, err.Error(), err)
+	}
+	defer release()
+	s.cfg.Decisions.Line("call-admitted", "route", x.call.Route.Name, "rank", x.call.Rank.Name)
+	req := s.outgoing(ctx, x, s.cfg.UpstreamAddr)
+	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
+	resp, err := s.upstream.RoundTrip(req)
+	if err != nil {
+		return s.upstreamFailure(ctx, err)
+	}
+	return s.copyAnswer(x, resp, call.RanYes)
+}
+
+func (s *Server) upstreamFailure(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return call.NewProblem(call.ProblemDeadline, call.RanUnknown, "while the upstream ran the call", err)
+	}
+	return call.NewProblem(call.ProblemUpstreamFailed, call.RanUnknown, "", err)
+}
+
+// forward sends a call to the node beside the chosen upstream.
+func (s *Server) forward(x *exchange, to member.Member) error {
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.call.Deadline)
+	defer cancel()
+	req := s.outgoing(ctx, x, to.CallAddr)
+	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
+	req.Header.Set(call.HeaderTarget, to.VM)
+	resp, err := s.peers.RoundTrip(req)
+	if err != nil {
+		return s.upstreamFailure(ctx, err)
+	}
+	return s.copyAnswer(x, resp, call.Ran(resp.Header.Get(call.HeaderRan)))
+}
+
+// outgoing copies the caller's request for the next hop.
+func (s *Server) outgoing(ctx context.Context, x *exchange, host string) *http.Request {
+	in := x.r
+	out := &http.Request{
+		Method:        in.Method,
+		URL:           &url.URL{Scheme: "http", Host: host, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery},
+		Header:        make(http.Header, len(in.Header)+6),
+		Body:          in.Body,
+		ContentLength: in.ContentLength,
+		Host:          in.Host,
+		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	copyHeader(out.Header, in.Header)
+	out.Header.Del(call.HeaderTarget)
+	out.Header.Set(call.HeaderRank, x.call.Rank.Name)
+	out.Header.Set(call.HeaderDeadline, strconv.FormatInt(time.Until(x.call.Deadline).Milliseconds(), 10))
+	if in.ContentLength == 0 {
+		out.Body = http.NoBody
+	}
+	return out.WithContext(ctx)
+}
+
+// copyAnswer streams an answer to the caller. A body that ends early ends the
+// caller's connection, so that it is never taken for a whole one.
+func (s *Server) copyAnswer(x *exchange, resp *http.Response, ran call.Ran) error {
+	defer func() { _ = resp.Body.Close() }()
+	h := x.w.Header()
+	copyHeader(h, resp.Header)
+	for name := range h {
+		if strings.HasPrefix(name, call.HeaderPrefix) {
+			delete(h, name)
+		}
+	}
+	h.Set(call.HeaderVersion, x.snap.ID.String())
+	h.Set(call.HeaderRan, string(ran))
+	x.started = true
+	x.w.WriteHeader(resp.StatusCode)
+	buf := s.buffers.get()
+	defer s.buffers.put(buf)
+	if _, err := io.CopyBuffer(writerOnly{x.w}, resp.Body, *buf); err != nil {
+		return call.NewProblem(call.ProblemUpstreamFailed, call.RanUnknown, "the answer was cut short", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dataplane/hop_headers.go
@@ -0,0 +1,17 @@
+package dataplane
+
+import "net/http"
+
+// hopHeaders belong to one connection (RFC 9110, section 7.6.1).
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		if !hopHeaders[name] {
+			dst[name] = values
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the settings of a node.
+package settings
--- /dev/null
+++ b/internal/settings/listen.go
@@ -0,0 +1,11 @@
+package settings
+
+// Listen holds the addresses of a node's listeners.
+type Listen struct {
+	// Calls accepts calls from callers, upstreams and other nodes.
+	Calls string `json:"calls" validate:"required,hostname_port"`
+	// Peers accepts control messages from other nodes.
+	Peers string `json:"peers" validate:"required,hostname_port"`
+	// Admin serves the administration API.
+	Admin string `json:"admin" validate:"required,hostname_port"`
+}
--- /dev/null
+++ b/internal/settings/node.go
@@ -0,0 +1,35 @@
+package settings
+
+// Node is the settings of one node. It is read-only after Parse.
+type Node struct {
+	// VM is the id of the VM in the platform's list.
+	VM string `json:"vm" validate:"required"`
+	// Zone is the availability zone of the VM.
+	Zone string `json:"zone" validate:"required"`
+	// Region is the region of the VM.
+	Region string `json:"region" validate:"required"`
+	// Service is the service label of the upstream on the VM.
+	Service string `json:"service" validate:"required"`
+	// Listen holds the node's own addresses, ip:port.
+	Listen Listen `json:"listen"`
+	// Advertise holds addresses that differ from the listening ones.
+	Advertise Advertise `json:"advertise"`
+	// Upstream is the address of the upstream on the VM, ip:port.
+	Upstream string `json:"upstream" validate:"required,hostname_port"`
+	// Platform tells where the platform is.
+	Platform Platform `json:"platform"`
+	// Seeds are peer addresses to join through; they may be out of date.
+	Seeds []string `json:"seeds" validate:"dive,hostname_port"`
+	// Keys holds the public keys of both leads.
+	Keys Keys `json:"keys"`
+	// JoinTimeoutMs is how long an empty node looks for one that serves
+	// before it relies on the platform alone, in milliseconds; 0 means 5,000.
+	JoinTimeoutMs int64 `json:"joinTimeoutMs" validate:"min=0,max=60000"`
+	// DrainMs bounds how long a planned stop waits for calls in flight, in
+	// milliseconds; 0 means 30,000.
+	DrainMs int64 `json:"drainMs" validate:"min=0,max=600000"`
+	// Log configures the log.
+	Log Log `json:"log"`
+	// FatalInvariants makes a broken invariant end the process; for tests.
+	FatalInvariants bool `json:"fatalInvariants"`
+}
--- /dev/null
+++ b/internal/standin/platformserver/value_shard.go
@@ -0,0 +1,46 @@
+package platformserver
+
+import (
+	"sync"
+	"time"
+)
+
+// value is one revision of a key.
+type value struct {
+	revision uint64
+	data     []byte
+	at       time.Time
+}
+
+// valueShard holds part of the keys with their recent revisions.
+type valueShard struct {
+	// mu guards history and changed.
+	mu      sync.Mutex
+	history map[string][]value
+	changed chan struct{}
+}
+
+func (s *valueShard) put(key string, v value) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history[key] = append(s.history[key], v)
+	if n := len(s.history[key]); n > maxRevisions {
+		s.history[key] = s.history[key][n-maxRevisions:]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// get returns the newest revision not after a time, and a channel that is
+// closed at the next change of the shard.
+func (s *valueShard) get(key string, asOf time.Time) (value, bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.history[key]
+	for i := len(h) - 1; i >= 0; i-- {
+		if !h[i].at.After(asOf) {
+			return h[i], true, s.changed
+		}
+	}
+	return value{}, false, s.changed
+}
--- /dev/null
+++ b/internal/standin/upstream/config.go
@@ -0,0 +1,16 @@
+package upstream
+
+import "time"
+
+// Config configures a stand-in upstream.
+type Config struct {
+	// VM is told in each answer.
+	VM string
+	// Slots is the number of calls that may run at once; more is counted as a
+	// violation.
+	Slots int64
+	// Work is how long a call runs.
+	Work time.Duration
+	// Crash ends the process; nil ignores crash requests.
+	Crash func()
+}
--- /dev/null
+++ b/tools/fleet/fleet.go
@@ -0,0 +1,224 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/platform"
+	"github.com/filbertpier/filbertpier/internal/standin/link"
+)
+
+const (
+	// seedCount is the number of VMs that all nodes know from their settings.
+	seedCount = 3
+	// readyTimeout bounds the wait for a process.
+	readyTimeout = 20 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	platformPort = 8500
+)
+
+// Fleet is a running fleet. Its methods are not safe for concurrent use, but
+// for the processes.
+type Fleet struct {
+	spec     Spec
+	keys     *Publisher
+	VMs      []VM
+	Platform *Process
+	Link     *Process
+	// Nodes and Upstreams are by VM id.
+	Nodes     map[string]*Process
+	Upstreams map[string]*Process
+}
+
+// Start launches the stand-ins and the upstreams, publishes the VM list, and
+// launches the nodes. It returns a *LaunchError.
+func Start(spec Spec, keys *Publisher) (*Fleet, error) {
+	f := &Fleet{spec: spec, keys: keys, Nodes: map[string]*Process{}, Upstreams: map[string]*Process{}}
+	f.layOut()
+	if err := f.startStandIns(); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+// layOut assigns VMs to zones and addresses to VMs.
+func (f *Fleet) layOut() {
+	zone := 0
+	for _, region := range f.spec.Regions {
+		for _, z := range region.Zones {
+			zone++
+			n := 0
+			for range f.spec.Rounds {
+				for _, service := range f.spec.Services {
+					n++
+					f.VMs = append(f.VMs, VM{
+						ID: fmt.Sprintf("%s-%d", z, n), Zone: z, Region: region.Name, Service: service,
+						IP:     fmt.Sprintf("127.%d.%d.%d", f.spec.Subnet, zone, n),
+						LinkIP: fmt.Sprintf("127.%d.%d.%d", f.spec.Subnet, 100+zone, n),
+					})
+				}
+			}
+		}
+	}
+}
+
+func (f *Fleet) linked() bool { return f.spec.ZoneDelay > 0 || f.spec.RegionDelay > 0 }
+
+func (f *Fleet) peerAddr(v VM) string {
+	if f.linked() {
+		return v.linkAddr(peerPort)
+	}
+	return v.addr(peerPort)
+}
+
+func (f *Fleet) platformAddr() string {
+	return fmt.Sprintf("127.%d.0.1:%d", f.spec.Subnet, platformPort)
+}
+
+// PlatformURL returns the base URL of the platform stand-in.
+func (f *Fleet) PlatformURL() string { return "http://" + f.platformAddr() }
+
+func (f *Fleet) startStandIns() error {
+	var err error
+	if f.Platform, err = start(f.spec.Bin, "fpplatform", "platform", nil, "--listen", f.platformAddr()); err != nil {
+		return err
+	}
+	if err := awaitStatus(f.PlatformURL()+"/control/stats", http.StatusOK, "platform"); err != nil {
+		return err
+	}
+	if f.linked() {
+		if err := f.startLink(); err != nil {
+			return err
+		}
+	}
+	return f.PublishVMs(nil)
+}
+
+func (f *Fleet) startLink() error {
+	var routes []link.Route
+	for _, to := range f.VMs {
+		delays := map[string]int64{}
+		for _, from := range f.VMs {
+			switch {
+			case from.Region != to.Region:
+				delays[from.IP] = f.spec.RegionDelay.Microseconds()
+			case from.Zone != to.Zone:
+				delays[from.IP] = f.spec.ZoneDelay.Microseconds()
+			}
+		}
+		for _, port := range []int{callPort, peerPort} {
+			routes = append(routes, link.Route{Listen: to.linkAddr(port), Target: to.addr(port), Delays: delays})
+		}
+	}
+	raw, err := json.Marshal(routes)
+	if err != nil {
+		return &LaunchError{Process: "link", Err: err}
+	}
+	f.Link, err = start(f.spec.Bin, "fplink", "link", raw)
+	return err
+}
+
+// PublishVMs publishes the VM list, without the VMs in gone.
+func (f *Fleet) PublishVMs(gone map[string]bool) error {
+	var list []platform.VM
+	for _, v := range f.VMs {
+		if gone[v.ID] {
+			continue
+		}
+		entry := platform.VM{ID: v.ID, Zone: v.Zone, Region: v.Region, Service: v.Service,
+			PeerAddr: v.addr(peerPort), CallAddr: v.addr(callPort), State: platform.VMLive}
+		if f.linked() {
+			entry.PeerAddr, entry.CallAddr = v.linkAddr(peerPort), v.linkAddr(callPort)
+		}
+		list = append(list, entry)
+	}
+	raw, err := json.Marshal(list)
+	if err != nil {
+		return &LaunchError{Process: "VM list", Err: err}
+	}
+	return put(f.PlatformURL()+"/control/vms", raw)
+}
+
+// StartUpstreams launches all upstreams.
+func (f *Fleet) StartUpstreams() error {
+	for _, v := range f.VMs {
+		p, err := start(f.spec.Bin, "fpupstream", "upstream "+v.ID, nil, "--listen", v.addr(upstreamPort), "--vm", v.ID,
+			"--slots", strconv.Itoa(f.spec.Slots), "--work", f.spec.Work.String())
+		if err != nil {
+			return err
+		}
+		f.Upstreams[v.ID] = p
+	}
+	return nil
+}
+
+// StartNode launches the node of one VM.
+func (f *Fleet) StartNode(v VM) error {
+	raw, err := f.settingsFor(v)
+	if err != nil {
+		return &LaunchError{Process: "node " + v.ID, Err: err}
+	}
+	p, err := start(f.spec.Bin, "fpnode", "node "+v.ID, raw, "--settings=-")
+	if err != nil {
+		return err
+	}
+	f.Nodes[v.ID] = p
+	return nil
+}
+
+// StartNodes launches all nodes and waits until they serve.
+func (f *Fleet) StartNodes() error {
+	for _, v := range f.VMs {
+		if err := f.StartNode(v); err != nil {
+			return err
+		}
+	}
+	for _, v := range f.VMs {
+		if err := f.AwaitReady(v); err != nil {
+			return &NotReadyError{VM: v.ID, Log: f.Nodes[v.ID].Log.String()}
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until a node serves.
+func (f *Fleet) AwaitReady(v VM) error {
+	return awaitStatus(v.AdminURL()+"/readyz", http.StatusNoContent, "node "+v.ID)
+}
+
+// Stop ends all processes of the fleet.
+func (f *Fleet) Stop() {
+	all := []*Process{f.Platform, f.Link}
+	for _, p := range f.Nodes {
+		all = append(all, p)
+	}
+	for _, p := range f.Upstreams {
+		all = append(all, p)
+	}
+	for _, p := range all {
+		if p != nil {
+			p.Kill()
+		}
+	}
+}
+
+func awaitStatus(url string, status int, process string) error {
+	deadline := time.Now().Add(readyTimeout)
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for time.Now().Before(deadline) {
+		resp, err := http.Get(url)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == status {
+				return nil
+			}
+		}
+		<-ticker.C
+	}
+	return &LaunchError{Process: process}
+}
--- /dev/null
+++ b/tools/fleet/process.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+)
+
+// Process is a started process. It is safe for concurrent use.
+type Process struct {
+	name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	// Log holds what the process wrote to standard error.
+	Log *LogBuffer
+	// mu serialises signals.
+	mu sync.Mutex
+}
+
+func start(bin, program, name string, stdin []byte, args ...string) (*Process, error) {
+	cmd := exec.Command(filepath.Join(bin, program), args...)
+	p := &Process{name: name, cmd: cmd, done: make(chan struct{}), Log: &LogBuffer{}}
+	if stdin != nil {
+		cmd.Stdin = bytes.NewReader(stdin)
+	}
+	cmd.Stdout = io.Discard
+	cmd.Stderr = p.Log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, &LaunchError{Process: name, Err: err}
+	}
+	go func() {
+		defer close(p.done)
+		_ = cmd.Wait()
+	}()
+	return p, nil
+}
+
+// Signal sends a signal to the process if it still runs.
+func (p *Process) Signal(sig os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+	default:
+		_ = p.cmd.Process.Signal(sig)
+	}
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
