Stop join requests from multiplying; add a virtual fleet for tests

Cause: a node that had a join request answered asked all seeds again while its cached view (up to 100 ms old) still showed it alone. Each round trip multiplied the requests; 120 virtual nodes never got past the first 100 ms. Ruled out: an endless timer chain; the goroutine dump shows onJoinRequest only. Change: an answer no longer triggers requests, the join timer does. internal/testkit/virtual drives many control.Agents in virtual time over a fake network and platform.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -83,7 +83,6 @@
 	a.mergeQuietly(now, m.Members, out)
 	a.join.hear(m.From.VM, m.Current, m.Ready)
 	a.onOffer(now, m.Current, m.From.VM, out)
-	a.askToJoin(now, out)
 }
 
 // mergeQuietly applies a whole table without passing it on: the others have it.
--- /dev/null
+++ b/internal/testkit/virtual/fleet.go
@@ -0,0 +1,145 @@
+package virtual
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/config/manifest"
+	"github.com/filbertpier/filbertpier/internal/control"
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/platform"
+	"github.com/filbertpier/filbertpier/internal/testkit"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// seedCount is the number of nodes of each zone that its nodes know at the
+// start.
+const seedCount = 2
+
+// Fleet is a virtual fleet. It is not safe for concurrent use.
+type Fleet struct {
+	Options   Options
+	Clock     *Clock
+	Network   *Network
+	Platform  *Platform
+	Publisher *testkit.Publisher
+	Nodes     []*Node
+	// PlatformCut reports whether a node cannot reach the platform; nil means
+	// all can.
+	PlatformCut func(*Node) bool
+
+	byAddr map[string]*Node
+	boots  uint64
+}
+
+// NewFleet returns a fleet whose nodes are not started.
+func NewFleet(o Options) *Fleet {
+	f := &Fleet{Options: o, Clock: NewClock(), Publisher: testkit.NewPublisher(), byAddr: map[string]*Node{}}
+	f.Platform = newPlatform(f.Clock)
+	f.Network = newNetwork(f)
+	for r := range o.Regions {
+		for z := range o.ZonesPerReg {
+			for i := range o.NodesPerZone {
+				f.addNode(r, z, i)
+			}
+		}
+	}
+	f.Platform.PutVMs(f.listed())
+	return f
+}
+
+func (f *Fleet) addNode(region, zone, index int) {
+	id := fmt.Sprintf("r%d-z%d-%04d", region, zone, index)
+	n := &Node{fleet: f, Record: member.Member{
+		VM: id, Region: fmt.Sprintf("r%d", region), Zone: fmt.Sprintf("r%d-z%d", region, zone),
+		Service:  f.Options.Services[index%len(f.Options.Services)],
+		PeerAddr: "peer/" + id, CallAddr: "call/" + id,
+	}}
+	f.Nodes = append(f.Nodes, n)
+	f.byAddr[n.Record.PeerAddr] = n
+}
+
+func (f *Fleet) listed() []platform.VM {
+	var list []platform.VM
+	for _, n := range f.Nodes {
+		list = append(list, platform.VM{ID: n.Record.VM, Zone: n.Record.Zone, Region: n.Record.Region,
+			Service: n.Record.Service, PeerAddr: n.Record.PeerAddr, CallAddr: n.Record.CallAddr, State: platform.VMLive})
+	}
+	return list
+}
+
+// PlatformRegion returns the region that hosts the platform.
+func (f *Fleet) PlatformRegion() string { return "r0" }
+
+// Start starts a node's process with an empty memory.
+func (f *Fleet) Start(n *Node) {
+	f.boots++
+	n.Record.Boot = uint64(f.Clock.Now().UnixMilli()) + f.boots
+	n.Record.ChangedAt = f.Clock.Now().UnixMilli()
+	n.AdoptedAt = map[uint64]time.Time{}
+	n.Events = map[effect.Event]int{}
+	n.Highest = snapshot.ID{}
+	n.pausedUntil, n.held = time.Time{}, nil
+	n.Agent = control.New(control.Config{
+		Self: n.Record, Keys: f.Publisher.Keys(), Seeds: f.seedsOf(n), PlatformRegion: f.PlatformRegion(),
+		JoinTimeout: f.Options.JoinTimeout, Seed: f.Options.Seed + f.boots,
+	}, snapshot.NewStore())
+	n.carryOut(n.Agent.Start(f.Clock.Now()))
+}
+
+func (f *Fleet) seedsOf(n *Node) []string {
+	var seeds []string
+	inZone := map[string]int{}
+	for _, other := range f.Nodes {
+		z := other.Record.Zone
+		if inZone[z] < seedCount && (z == n.Record.Zone || inZone[z] == 0) {
+			inZone[z]++
+			seeds = append(seeds, other.Record.PeerAddr)
+		}
+	}
+	return seeds
+}
+
+// StartAll starts all nodes at once.
+func (f *Fleet) StartAll() {
+	for _, n := range f.Nodes {
+		f.Start(n)
+	}
+}
+
+// Kill ends a node's process without notice.
+func (f *Fleet) Kill(n *Node) { n.Agent = nil }
+
+// Pause stops a node's process for a time; messages, timers and answers are
+// processed when it wakes.
+func (f *Fleet) Pause(n *Node, d time.Duration) {
+	n.pausedUntil = f.Clock.Now().Add(d)
+	f.Clock.After(d, n.wake)
+}
+
+// Publish publishes a version that both leads accepted.
+func (f *Fleet) Publish(version uint64, sections []config.Section) snapshot.ID {
+	for _, s := range sections {
+		f.Platform.Put(platform.SectionKey(manifest.Sum(s.Raw)), s.Raw)
+	}
+	env := f.Publisher.Accepted(version, sections)
+	raw, err := env.Encode()
+	if err != nil {
+		panic(err)
+	}
+	f.Platform.Put(platform.ManifestKey, raw)
+	return snapshot.ID{Version: version, Digest: env.Digest()}
+}
+
+// Behind returns the running nodes whose version is before id.
+func (f *Fleet) Behind(id snapshot.ID) []*Node {
+	var out []*Node
+	for _, n := range f.Nodes {
+		if n.Running() && n.Agent.Store().CurrentID().Less(id) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/testkit/virtual/fleet_test.go
@@ -0,0 +1,41 @@
+package virtual_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/internal/testkit"
+	"github.com/filbertpier/filbertpier/internal/testkit/virtual"
+)
+
+// Guards against a version that does not reach every node within the target of
+// four seconds in a calm fleet.
+func TestVersionReachesAllNodesInTime(t *testing.T) {
+	f := virtual.NewFleet(virtual.SmallFleet(20, 1))
+	f.Publish(1, testkit.Sections(1, f.Options.Services...))
+	f.StartAll()
+	f.Clock.Run(30 * time.Second)
+	for version := uint64(2); version <= 5; version++ {
+		id := f.Publish(version, testkit.Sections(int(version), f.Options.Services...))
+		f.Clock.Run(4 * time.Second)
+		if behind := f.Behind(id); len(behind) > 0 {
+			t.Errorf("version %d: %d nodes behind after 4 s", version, len(behind))
+		}
+		f.Clock.Run(26 * time.Second)
+	}
+	t.Logf("platform calls: %d, at most %d in a second", f.Platform.Calls, f.Platform.MaxCallsPerSecond())
+}
+
+// Guards against a storm of join requests: a node that had one answered asked
+// all seeds again while its cached view still showed it alone, so that requests
+// multiplied with each round trip.
+func TestJoinRequestsDoNotMultiply(t *testing.T) {
+	f := virtual.NewFleet(virtual.SmallFleet(3, 1))
+	f.StartAll()
+	f.Clock.Run(50 * time.Millisecond)
+	seeds := 7
+	if n := f.Network.Messages[message.KindJoinRequest]; n > len(f.Nodes)*seeds {
+		t.Errorf("%d join requests for %d nodes with %d seeds each", n, len(f.Nodes), seeds)
+	}
+}
--- /dev/null
+++ b/internal/testkit/virtual/network.go
@@ -0,0 +1,88 @@
+package virtual
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/message"
+)
+
+// Network is a fake network between the nodes. It is not safe for concurrent
+// use.
+type Network struct {
+	fleet *Fleet
+	rng   *rand.Rand
+	// Cut reports whether messages from one node to another are lost; nil
+	// means none.
+	Cut func(from, to *Node) bool
+	// Loss is the share of messages lost at random.
+	Loss float64
+	// CountBytes makes the network encode each message to count its bytes.
+	CountBytes bool
+	// Messages and Bytes count what was sent, by kind.
+	Messages map[message.Kind]int
+	Bytes    map[message.Kind]int
+	// CrossRegionBytes counts the bytes sent between regions, by kind.
+	CrossRegionBytes map[message.Kind]int
+}
+
+func newNetwork(f *Fleet) *Network {
+	return &Network{
+		fleet: f, rng: rand.New(rand.NewPCG(f.Options.Seed, 1)),
+		Messages: map[message.Kind]int{}, Bytes: map[message.Kind]int{}, CrossRegionBytes: map[message.Kind]int{},
+	}
+}
+
+// TotalCrossRegion returns the bytes sent between regions.
+func (w *Network) TotalCrossRegion() int {
+	total := 0
+	for _, n := range w.CrossRegionBytes {
+		total += n
+	}
+	return total
+}
+
+func (w *Network) send(from *Node, s effect.Send) {
+	to, ok := w.fleet.byAddr[s.Addr]
+	if !ok {
+		return
+	}
+	w.count(from, to, s)
+	if !to.Running() || w.Cut != nil && w.Cut(from, to) || w.rng.Float64() < w.Loss {
+		return
+	}
+	process := to.Agent
+	w.fleet.Clock.After(w.delay(from, to), func() {
+		to.do(process, func() []effect.Effect { return process.HandleMessage(w.fleet.Clock.Now(), s.Message) })
+	})
+}
+
+func (w *Network) delay(from, to *Node) time.Duration {
+	o := w.fleet.Options
+	switch {
+	case from.Record.Region != to.Record.Region:
+		return o.RegionDelay
+	case from.Record.Zone != to.Record.Zone:
+		return o.ZoneDelay
+	default:
+		return o.ZeroDelay
+	}
+}
+
+func (w *Network) count(from, to *Node, s effect.Send) {
+	kind := s.Message.Kind()
+	w.Messages[kind]++
+	if !w.CountBytes {
+		return
+	}
+	raw, err := json.Marshal(s.Message)
+	if err != nil {
+		return
+	}
+	w.Bytes[kind] += len(raw)
+	if from.Record.Region != to.Record.Region {
+		w.CrossRegionBytes[kind] += len(raw)
+	}
+}
