--- a/internal/standin/upstream/config.go
+++ b/internal/standin/upstream/config.go
@@ -9,6 +9,9 @@
 	// Slots is the number of calls that may run at once; more is counted as a
 	// violation.
 	Slots int64
+	// Queue makes calls beyond Slots wait for a slot; otherwise they run at
+	// once and are counted.
+	Queue bool
 	// Work is how long a call runs.
 	Work time.Duration
 	// Crash ends the process; nil ignores crash requests.
--- a/internal/standin/upstream/server.go
+++ b/internal/standin/upstream/server.go
@@ -23,6 +23,7 @@
 // Server is the stand-in. It is an http.Handler and safe for concurrent use.
 type Server struct {
 	cfg       Config
+	slots     chan struct{}
 	running   atomic.Int64
 	ran       atomic.Int64
 	maxRun    atomic.Int64
@@ -31,7 +32,13 @@
 }
 
 // New returns a stand-in upstream.
-func New(cfg Config) *Server { return &Server{cfg: cfg} }
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	if cfg.Queue {
+		s.slots = make(chan struct{}, cfg.Slots)
+	}
+	return s
+}
 
 // ServeHTTP implements http.Handler. The answer echoes the request's body.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -39,6 +46,10 @@
 		_ = json.NewEncoder(w).Encode(s.Stats())
 		return
 	}
+	if s.slots != nil {
+		s.slots <- struct{}{}
+		defer func() { <-s.slots }()
+	}
 	running := s.running.Add(1)
 	defer s.running.Add(-1)
 	s.note(running)
--- /dev/null
+++ b/tools/fleet/cpu_time.go
@@ -0,0 +1,31 @@
+package fleet
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTick is the unit of CPU times in /proc on Linux.
+const clockTick = 10 * time.Millisecond
+
+// CPUTime returns the processor time that the process has used, in user and
+// system mode. It returns a *LaunchError if the process has ended.
+func (p *Process) CPUTime() (time.Duration, error) {
+	raw, err := os.ReadFile("/proc/" + strconv.Itoa(p.PID()) + "/stat")
+	if err != nil {
+		return 0, &LaunchError{Process: p.name, Err: err}
+	}
+	// The fields after the command name, which ends with the last parenthesis.
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+1:]))
+	user, err := strconv.ParseInt(fields[11], 10, 64)
+	if err != nil {
+		return 0, &LaunchError{Process: p.name, Err: err}
+	}
+	system, err := strconv.ParseInt(fields[12], 10, 64)
+	if err != nil {
+		return 0, &LaunchError{Process: p.name, Err: err}
+	}
+	return time.Duration(user+system) * clockTick, nil
+}
--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -156,6 +156,20 @@
 	return nil
 }
 
+// StartBareUpstream launches an upstream that no node serves and returns its
+// base URL; calls beyond its slots wait. number distinguishes several.
+func (f *Fleet) StartBareUpstream(number int) (string, error) {
+	id := fmt.Sprintf("bare-%d", number)
+	addr := fmt.Sprintf("127.%d.0.%d:%d", f.spec.Subnet, 100+number, upstreamPort)
+	p, err := start(f.spec.Bin, "fpupstream", "upstream "+id, nil, "--listen", addr, "--vm", id,
+		"--slots", strconv.Itoa(f.spec.Slots), "--work", f.spec.Work.String(), "--queue")
+	if err != nil {
+		return "", err
+	}
+	f.Upstreams[id] = p
+	return "http://" + addr, awaitStatus("http://"+addr+"/standin/stats", http.StatusOK, "upstream "+id)
+}
+
 // StartNode launches the node of one VM.
 func (f *Fleet) StartNode(v VM) error {
 	raw, err := f.settingsFor(v)
