Draw recorded runs as line charts: tools/plot

Cause: convergence and service level by rank are easier to look at than to read. Change: tools/plot draws a CSV record with gonum/plot, one line per series, rows filtered by column value. Ruled out: an own SVG writer; a kept library does it.

--- /dev/null
+++ b/tools/plot/draw.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"maps"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	chartWidth  = 9 * vg.Inch
+	chartHeight = 4.5 * vg.Inch
+)
+
+// draw writes a chart. It returns a *RecordError.
+func draw(c chart, in, out string) error {
+	r, err := readRecord(c, in)
+	if err != nil {
+		return err
+	}
+	p := plot.New()
+	p.Title.Text = c.title
+	p.X.Label.Text, p.Y.Label.Text = c.x, c.y
+	p.Legend.Top = true
+	var lines []any
+	for _, name := range slices.Sorted(maps.Keys(r.lines)) {
+		lines = append(lines, name, r.lines[name])
+	}
+	if len(lines) == 0 {
+		return &RecordError{File: in, Detail: "no row matches"}
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return &RecordError{File: in, Detail: "draw", Err: err}
+	}
+	if err := p.Save(chartWidth, chartHeight, out); err != nil {
+		return &RecordError{File: out, Detail: "write", Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/tools/plot/main.go
@@ -0,0 +1,27 @@
+// Command plot draws the record of a run, a CSV file with a header, as an SVG
+// line chart with one line per series.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func main() {
+	app := kingpin.New("plot", "Draws a recorded run as an SVG line chart.")
+	in := app.Flag("in", "CSV file with a header.").Required().ExistingFile()
+	out := app.Flag("out", "SVG file to write.").Required().String()
+	var c chart
+	app.Flag("x", "Column of the horizontal axis.").Required().StringVar(&c.x)
+	app.Flag("y", "Column of the vertical axis.").Required().StringVar(&c.y)
+	app.Flag("series", "Columns whose values name a line.").Required().StringsVar(&c.series)
+	app.Flag("where", "Keep only the rows with column=value; may be repeated.").StringMapVar(&c.where)
+	app.Flag("title", "Title of the chart.").StringVar(&c.title)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := draw(c, *in, *out); err != nil {
+		fmt.Fprintln(os.Stderr, "plot:", err)
+		os.Exit(1)
+	}
+}
