Ask nearer holders at once and encode each delta once

Encoding a delta allocated and cleared a window of megabytes for sections of a few KB, for every child of the tree.

Change: an offer from a nearer holder (other region, then own region) starts the pull at once; the zstd window covers only base and data; answers to pulls are cached per base.

--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -20,6 +20,7 @@
 	rng       *random
 	watches   *watches
 	transfers *transfers
+	responses responseCache
 	refused   *refused
 	updates   *updateQueue
 	platform  platformState
--- a/internal/control/offer.go
+++ b/internal/control/offer.go
@@ -20,17 +20,17 @@
 	if !current.Less(id) || a.refused.has(id) {
 		return
 	}
-	local := a.inRegion(vm)
+	near := a.nearness(vm)
 	created, pull := false, false
 	delay := a.pullDelay(now, id, vm)
 	a.transfers.update(id, func(tr *transfer, isNew bool) {
 		created = isNew
 		tr.addSource(vm)
 		// A transfer that waits for the platform or for another gateway must
-		// not sleep on once a peer of the region offers the version.
-		pull = isNew && delay == 0 || local && !tr.local
-		if local {
-			tr.local = true
+		// not sleep on once a nearer holder offers the version.
+		pull = delay == 0 && (isNew || near > tr.near)
+		if delay == 0 && near > tr.near {
+			tr.near = near
 			tr.preferLast()
 		}
 	})
@@ -44,9 +44,16 @@
 	}
 }
 
-func (a *Agent) inRegion(vm string) bool {
+func (a *Agent) nearness(vm string) nearness {
 	m, ok := a.table.Get(vm)
-	return ok && m.Region == a.self.get().Region
+	switch {
+	case !ok:
+		return nearUnknown
+	case m.Region != a.self.get().Region:
+		return nearOtherRegion
+	default:
+		return nearOwnRegion
+	}
 }
 
 // pullDelay keeps all but one node of a region from pulling across regions at
--- a/internal/control/pull.go
+++ b/internal/control/pull.go
@@ -23,12 +23,16 @@
 		out.send(self, from, &message.PullResponse{VM: self.VM, ID: m.Want, Missing: true})
 		return
 	}
-	resp, err := a.encodeVersion(cur, m.Have)
-	if err != nil {
-		out.log(effect.EventSectionInvalid, "version", cur.ID.Version, "error", err.Error())
-		return
+	resp, ok := a.responses.get(cur.ID, m.Have)
+	if !ok {
+		var err error
+		if resp, err = a.encodeVersion(cur, m.Have); err != nil {
+			out.log(effect.EventSectionInvalid, "version", cur.ID.Version, "error", err.Error())
+			return
+		}
+		resp.VM = self.VM
+		a.responses.put(m.Have, resp)
 	}
-	resp.VM = self.VM
 	out.send(self, from, resp)
 }
 
--- /dev/null
+++ b/internal/control/response_cache.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// maxCachedResponses bounds the cache: nearly all peers pull from the same base.
+const maxCachedResponses = 4
+
+// responseCache keeps the encoded answers to pulls of the version in force, so
+// that a node compresses a delta once and not for each child of the tree.
+type responseCache struct {
+	// mu guards id and byBase.
+	mu     sync.Mutex
+	id     snapshot.ID
+	byBase map[snapshot.ID]*message.PullResponse
+}
+
+func (c *responseCache) get(id, base snapshot.ID) (*message.PullResponse, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.id != id {
+		return nil, false
+	}
+	resp, ok := c.byBase[base]
+	return resp, ok
+}
+
+// put adds an answer, which must not be changed afterwards.
+func (c *responseCache) put(base snapshot.ID, resp *message.PullResponse) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.id != resp.ID || len(c.byBase) >= maxCachedResponses {
+		c.id, c.byBase = resp.ID, map[snapshot.ID]*message.PullResponse{}
+	}
+	c.byBase[base] = resp
+}
--- a/internal/control/transfer.go
+++ b/internal/control/transfer.go
@@ -17,8 +17,8 @@
 	// due is when the current attempt counts as failed. A timer that fires
 	// earlier belongs to an attempt that another one replaced.
 	due time.Time
-	// local is set once a holder in the node's own region was asked.
-	local bool
+	// near is how near the nearest holder is that was asked.
+	near nearness
 	// envelope, manifest and sections hold what came from the platform.
 	envelope *manifest.Envelope
 	manifest *manifest.Manifest
--- a/internal/spread/delta.go
+++ b/internal/spread/delta.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"math/bits"
+
 	"github.com/klauspost/compress/zstd"
 
 	"github.com/filbertpier/filbertpier/config"
@@ -13,10 +15,14 @@
 // envelope with its base64 manifest, is at most about this long.
 const maxDecoded = 4 * config.MaxSectionBytes
 
+// maxWindow covers the largest section and its base.
+const maxWindow = 4 << 20
+
 // EncodeDelta compresses data, with base as dictionary if it is not empty. It
 // is safe for concurrent use.
 func EncodeDelta(base, data []byte) ([]byte, error) {
-	opts := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithLowerEncoderMem(true)}
+	opts := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithLowerEncoderMem(true),
+		zstd.WithWindowSize(windowFor(len(base) + len(data)))}
 	if len(base) > 0 {
 		opts = append(opts, zstd.WithEncoderDictRaw(dictID, base))
 	}
@@ -28,6 +34,12 @@
 	return enc.EncodeAll(data, nil), nil
 }
 
+// windowFor returns the smallest window that covers n bytes. The encoder
+// allocates and clears its window for each frame, and sections are small.
+func windowFor(n int) int {
+	return min(max(1<<bits.Len(uint(n)), zstd.MinWindowSize), maxWindow)
+}
+
 // DecodeDelta reverses EncodeDelta with the same base. It returns a
 // *DeltaError and never expands to more than a few megabytes.
 func DecodeDelta(base, frame []byte) ([]byte, error) {
