Check whole documents for every rule at once and add warnings

Checks stopped at the first schema mismatch of a section, skipped the rest of an element after a bad name, and nothing bounded the document as a whole. Unused declarations, shadowed routes, targets beyond the timeout and floors below one slot are warnings: nodes compile without them, so they never refuse a version. Conclusion: the owner sees all faults in one run.

--- a/config/compile.go
+++ b/config/compile.go
@@ -1,18 +1,36 @@
 package config
 
 // Compile parses and checks all sections of a document as a whole. It returns
-// an *InvalidDocumentError that lists every fault found; no partial document
+// an *InvalidDocumentError that lists the faults found; no partial document
 // is ever returned.
 func Compile(sections []Section) (*Document, error) {
+	r := check(sections, false)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	return r.Document, nil
+}
+
+// Check does what Compile does and also looks for what is valid but probably
+// not meant.
+func Check(sections []Section) *Report { return check(sections, true) }
+
+func check(sections []Section, warn bool) *Report {
 	c := newCompiler()
-	for _, s := range sections {
-		c.addSection(s)
+	if c.checkSize(sections) {
+		for _, s := range sections {
+			c.addSection(s)
+		}
+		c.checkReferences()
 	}
-	c.checkReferences()
-	if len(c.faults) > 0 {
-		return nil, &InvalidDocumentError{Faults: c.faults}
+	if len(c.report.Faults) == 0 {
+		c.doc.sortRoutes()
+		c.doc.sortRanks()
+		if warn {
+			c.lint()
+		}
+		c.report.Document = c.doc
 	}
-	c.doc.sortRoutes()
-	c.doc.sortRanks()
-	return c.doc, nil
+	c.report.sort()
+	return &c.report
 }
--- a/config/source.go
+++ b/config/source.go
@@ -1,11 +1,9 @@
 package config
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 
-	"github.com/tailscale/hujson"
+	"github.com/filbertpier/filbertpier/internal/strictjson"
 )
 
 // source is a section's text with its decoded body and the positions of its
@@ -13,42 +11,28 @@
 type source struct {
 	section Section
 	body    SectionBody
-	tree    hujson.Value
+	text    *strictjson.Source
+	// broken holds the pointers of values that could not be decoded. They are
+	// zero in body; a second fault about the zero would mislead.
+	broken map[string]bool
 }
 
-// parseSource decodes one section. Unknown fields are faults: a misspelt field
-// would otherwise be ignored.
+// parseSource decodes one section. The source is nil if nothing could be
+// decoded.
 func parseSource(s Section) (*source, []Fault) {
 	if len(s.Raw) > MaxSectionBytes {
-		return nil, []Fault{{Section: s.Name, Rule: "section-size", Detail: fmt.Sprintf("%d bytes, at most %d", len(s.Raw), MaxSectionBytes)}}
+		return nil, []Fault{{Section: s.Name, Rule: RuleSectionSize, Detail: fmt.Sprintf("%d bytes, at most %d", len(s.Raw), MaxSectionBytes)}}
 	}
-	tree, err := hujson.Parse(s.Raw)
-	if err != nil {
-		return nil, []Fault{{Section: s.Name, Line: 1, Rule: "syntax", Detail: err.Error()}}
+	src := &source{section: s, broken: map[string]bool{}}
+	text, problems := strictjson.Decode(s.Raw, &src.body)
+	faults := make([]Fault, 0, len(problems))
+	for _, p := range problems {
+		src.broken[p.Pointer] = true
+		faults = append(faults, Fault{Section: s.Name, Line: p.Line, Rule: string(p.Rule), Detail: p.Detail})
 	}
-	src := &source{section: s, tree: tree}
-	std := tree.Clone()
-	std.Standardize()
-	dec := json.NewDecoder(bytes.NewReader(std.Pack()))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&src.body); err != nil {
-		return nil, []Fault{{Section: s.Name, Line: lineAt(s.Raw, int(dec.InputOffset())), Rule: "schema", Detail: err.Error()}}
+	if text == nil {
+		return nil, faults
 	}
-	return src, nil
-}
-
-// line returns the line of the value at a JSON pointer, or 1.
-func (s *source) line(pointer string) int {
-	v := s.tree.Find(pointer)
-	if v == nil {
-		return 1
-	}
-	return lineAt(s.section.Raw, v.StartOffset)
-}
-
-func lineAt(raw []byte, offset int) int {
-	if offset > len(raw) {
-		offset = len(raw)
-	}
-	return 1 + bytes.Count(raw[:offset], []byte{'\n'})
+	src.text = text
+	return src, faults
 }
