Accept one encoding of manifests, envelopes and version IDs

Decoders accepted repeated members, any letter case, trailing bytes, any number of signatures and several spellings of an ID, so two readers could understand one signed text differently and peers could attach bytes nobody signed. Relying on the digest alone was ruled out: it covers neither signatures nor the meaning of the bytes. Manifests must now equal their own encoding; sizes, counts and signatures are bounded; IDs must equal their own text. Conclusion: signed means one thing.

--- a/config/manifest/envelope.go
+++ b/config/manifest/envelope.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"crypto/ed25519"
 	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
 )
 
 // signingDomain keeps a signature over a manifest from being valid for any
@@ -26,15 +29,39 @@
 // DecodeEnvelope parses an envelope without checking its signatures. It
 // returns a *MalformedError.
 func DecodeEnvelope(raw []byte) (*Envelope, error) {
+	if len(raw) > MaxEnvelopeBytes {
+		return nil, &MalformedError{Part: fmt.Sprintf("envelope of %d bytes, at most %d", len(raw), MaxEnvelopeBytes)}
+	}
 	var e Envelope
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&e); err != nil {
 		return nil, &MalformedError{Part: "envelope", Err: err}
 	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, &MalformedError{Part: "envelope: bytes after its end"}
+	}
+	if err := e.checkSignatures(); err != nil {
+		return nil, err
+	}
 	return &e, nil
 }
 
+// checkSignatures bounds what peers pass on without verifying it first.
+func (e *Envelope) checkSignatures() error {
+	if len(e.Signatures) > maxSignatures {
+		return &MalformedError{Part: fmt.Sprintf("envelope with %d signatures", len(e.Signatures))}
+	}
+	seen := map[Lead]bool{}
+	for _, s := range e.Signatures {
+		if !slices.Contains(Leads(), s.Lead) || seen[s.Lead] || len(s.Value) != ed25519.SignatureSize || len(s.KeyID) != keyIDLength {
+			return &MalformedError{Part: fmt.Sprintf("signature of lead %.40q", string(s.Lead))}
+		}
+		seen[s.Lead] = true
+	}
+	return nil
+}
+
 // Sign adds or replaces the lead's signature.
 func (e *Envelope) Sign(lead Lead, key ed25519.PrivateKey) {
 	sig := Signature{
--- a/config/manifest/key_ring.go
+++ b/config/manifest/key_ring.go
@@ -9,10 +9,13 @@
 // while one is being replaced. A KeyRing is read-only after creation.
 type KeyRing map[Lead][]ed25519.PublicKey
 
+// keyIDLength is the length of a key id in hexadecimal digits.
+const keyIDLength = 16
+
 // KeyID returns the short name of a public key.
 func KeyID(key ed25519.PublicKey) string {
 	d := Sum(key)
-	return hex.EncodeToString(d[:8])
+	return hex.EncodeToString(d[:keyIDLength/2])
 }
 
 // Verify checks that both leads signed the envelope and decodes its manifest.
--- a/config/manifest/manifest.go
+++ b/config/manifest/manifest.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+
+	"github.com/filbertpier/filbertpier/config"
 )
 
 // Manifest lists the sections of one version.
@@ -12,30 +15,59 @@
 	Sections []SectionRef `json:"sections"`
 }
 
+// New returns the manifest of a version.
+func New(version uint64, sections []config.Section) *Manifest {
+	m := &Manifest{Version: version}
+	for _, s := range sections {
+		m.Sections = append(m.Sections, SectionRef{Name: s.Name, Owner: s.Owner, Digest: Sum(s.Raw), Size: len(s.Raw)})
+	}
+	return m
+}
+
 // Encode returns the bytes that are signed and published.
 func (m *Manifest) Encode() ([]byte, error) { return json.Marshal(m) }
 
-// Decode parses a manifest and checks its own consistency. It returns a
-// *MalformedError.
+// Decode parses a manifest and checks its own consistency. It accepts only the
+// bytes that Encode returns: repeated members, names in another letter case and
+// trailing bytes would let two readers understand one signature differently.
+// It returns a *MalformedError.
 func Decode(raw []byte) (*Manifest, error) {
+	if len(raw) > MaxEnvelopeBytes {
+		return nil, &MalformedError{Part: fmt.Sprintf("manifest of %d bytes, at most %d", len(raw), MaxEnvelopeBytes)}
+	}
 	var m Manifest
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&m); err != nil {
+	if err := json.Unmarshal(raw, &m); err != nil {
 		return nil, &MalformedError{Part: "manifest", Err: err}
 	}
+	if canonical, err := m.Encode(); err != nil || !bytes.Equal(canonical, raw) {
+		return nil, &MalformedError{Part: "manifest encoding", Err: err}
+	}
+	if err := m.check(); err != nil {
+		return nil, err
+	}
+	return &m, nil
+}
+
+func (m *Manifest) check() error {
 	if m.Version == 0 {
-		return nil, &MalformedError{Part: "manifest version"}
+		return &MalformedError{Part: "manifest version"}
 	}
-	if len(m.Sections) == 0 {
-		return nil, &MalformedError{Part: "manifest sections"}
+	if len(m.Sections) == 0 || len(m.Sections) > config.MaxSections {
+		return &MalformedError{Part: fmt.Sprintf("manifest with %d sections", len(m.Sections))}
 	}
-	seen := map[string]bool{}
+	seen, total := map[string]bool{}, 0
 	for _, s := range m.Sections {
 		if s.Name == "" || seen[s.Name] {
-			return nil, &MalformedError{Part: "manifest section name " + s.Name}
+			return &MalformedError{Part: fmt.Sprintf("manifest section name %.80q", s.Name)}
+		}
+		if s.Size <= 0 || s.Size > config.MaxSectionBytes {
+			return &MalformedError{Part: fmt.Sprintf("manifest section %.80q of %d bytes", s.Name, s.Size)}
 		}
 		seen[s.Name] = true
+		total += s.Size
 	}
-	return &m, nil
+	if total > config.MaxDocumentBytes {
+		return &MalformedError{Part: fmt.Sprintf("manifest with %d bytes of sections, at most %d", total, config.MaxDocumentBytes)}
+	}
+	return nil
 }
--- a/snapshot/id.go
+++ b/snapshot/id.go
@@ -49,7 +49,8 @@
 	return nil
 }
 
-// ParseID parses the output of String. It returns an *IDError.
+// ParseID parses the output of String and nothing else: IDs are compared as
+// text in headers and logs. It returns an *IDError.
 func ParseID(s string) (ID, error) {
 	number, digest, ok := strings.Cut(s, "-")
 	if !ok {
@@ -63,5 +64,8 @@
 	if err := id.Digest.UnmarshalText([]byte(digest)); err != nil {
 		return ID{}, &IDError{Text: s, Err: err}
 	}
+	if id.String() != s {
+		return ID{}, &IDError{Text: s}
+	}
 	return id, nil
 }
