--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -24,6 +24,8 @@
 	Version snapshot.ID
 	// Depth counts the calls that led to this one.
 	Depth int
+	// WithinRetry is set if the call, or one that led to it, is a retry.
+	WithinRetry bool
 }
 
 // Parse reads a call's headers against a document. It returns a *Problem.
@@ -32,7 +34,7 @@
 	if !ok {
 		return nil, NewProblem(ProblemNoRoute, RanNo, r.Method+" "+r.URL.Path, nil)
 	}
-	c := &Call{Route: route, Key: r.Header.Get(HeaderIdempotencyKey)}
+	c := &Call{Route: route, Key: r.Header.Get(HeaderIdempotencyKey), WithinRetry: r.Header.Get(HeaderRetry) != ""}
 	if err := c.parseRank(r, doc); err != nil {
 		return nil, err
 	}
--- a/internal/call/headers.go
+++ b/internal/call/headers.go
@@ -11,6 +11,9 @@
 	HeaderVersion = "Filbertpier-Version"
 	// HeaderDepth counts the calls that led to this one.
 	HeaderDepth = "Filbertpier-Depth"
+	// HeaderRetry is "1" on an attempt that is a retry and on the calls nested
+	// in it; they are not tried again, so that attempts do not multiply.
+	HeaderRetry = "Filbertpier-Retry"
 	// HeaderRan tells whether the call ran: no, yes or unknown.
 	HeaderRan = "Filbertpier-Ran"
 	// HeaderTarget names the VM beside whose upstream a call is to run; set by
--- /dev/null
+++ b/internal/retry/attempt.go
@@ -0,0 +1,32 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/call"
+)
+
+// Attempt describes a call whose last attempt failed.
+type Attempt struct {
+	Service string
+	// Policy is the route's retry policy; nil means no retries.
+	Policy *config.RetryPolicy
+	// Made counts the attempts made so far, the first included.
+	Made int
+	// Ran tells whether the last attempt ran.
+	Ran call.Ran
+	// Idempotent is set if the call may run more than once.
+	Idempotent bool
+	// Replayable is set if the request can be sent again in full.
+	Replayable bool
+	// Depth counts the calls that led to this one.
+	Depth int
+	// WithinRetry is set if a call above this one is itself a retry.
+	WithinRetry bool
+	Deadline    time.Time
+	// RetryAfter is the wait that the refusing node asked for.
+	RetryAfter time.Duration
+	// Expected is how long an attempt takes; zero if unknown.
+	Expected time.Duration
+}
--- /dev/null
+++ b/internal/retry/reason.go
@@ -0,0 +1,18 @@
+package retry
+
+// Reason tells why a call is or is not tried again.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNotRun      Reason = "not-run"
+	ReasonIdempotent  Reason = "idempotent"
+	ReasonNoPolicy    Reason = "no-policy"
+	ReasonMaxAttempts Reason = "max-attempts"
+	ReasonMayHaveRun  Reason = "may-have-run"
+	ReasonNotReplayed Reason = "not-replayable"
+	ReasonNested      Reason = "nested"
+	ReasonWithinRetry Reason = "within-retry"
+	ReasonDeadline    Reason = "deadline"
+	ReasonBudget      Reason = "budget"
+)
