Choose upstreams by own observations and load reports

Cause: the picker chose at random within the nearest scope and knew nothing of failed, silent, cold or leaving upstreams. Ruled out: trusting health and load endpoints, which lag or lie.

--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -107,12 +107,16 @@
 	s.cfg.Invariants.Check(ok, "route-service", "route %s points at unknown service %s", x.call.Route.Name, x.call.Route.Service)
 	self := s.control.Self()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	d, err := s.picker.Pick(s.control.Table().View(time.Now()), self, service.Selector, nil, rng)
+	now := time.Now()
+	d, err := s.picker.Pick(now, routing.Query{
+		View: s.control.Table().View(now), Self: self, Service: service.Selector,
+		Worth: x.call.Rank.Worth, Deadline: x.call.Deadline, Rand: rng,
+	})
 	if err != nil {
 		return call.NewProblem(call.ProblemNoUpstream, call.RanNo, err.Error(), err)
 	}
 	s.cfg.Decisions.Line("call-routed", "route", x.call.Route.Name, "rank", x.call.Rank.Name, "vm", d.Member.VM,
-		"scope", d.Scope, "candidates", d.Candidates, "version", x.snap.ID.Version)
+		"scope", d.Scope, "reason", d.Reason, "candidates", d.Candidates, "version", x.snap.ID.Version)
 	if d.Member.VM == self.VM {
 		return s.serveLocal(x)
 	}
--- /dev/null
+++ b/internal/routing/assessment.go
@@ -0,0 +1,42 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/member"
+)
+
+// assessment is the node's view of one candidate at one moment.
+type assessment struct {
+	member   member.Member
+	state    state
+	expected float64
+	ramp     float64
+}
+
+func (p *Picker) assess(now time.Time, q *Query, m member.Member) assessment {
+	a := assessment{member: m}
+	switch {
+	case m.Status == member.Leaving:
+		a.state = stateLeaving
+		return a
+	case m.Boot == 0:
+		a.state = stateJoining
+		return a
+	case q.Exclude[m.VM]:
+		a.state = stateExcluded
+		return a
+	}
+	s := p.beliefs.shard(m.VM)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.get(m.VM)
+	b.sync(now, m.Boot)
+	a.state = b.state(now, p.options)
+	a.expected = b.expected(now, p.options)
+	a.ramp = b.ramp(now, p.options)
+	if m.Status == member.Suspect && a.state != stateLeaving {
+		a.state = stateSuspect
+	}
+	return a
+}
--- /dev/null
+++ b/internal/routing/belief.go
@@ -0,0 +1,189 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+// belief is what the node knows of one upstream from its own calls and from
+// reports. It is guarded by the lock of its shard.
+type belief struct {
+	boot      uint64
+	firstSeen time.Time
+	touched   time.Time
+
+	// outstanding counts own calls in flight; progressAt is the last sign of
+	// progress of any of them, or the start of the first.
+	outstanding int
+	progressAt  time.Time
+
+	latency   float64 // moving mean in seconds of answered calls
+	latencyAt time.Time
+	refused   float64 // moving share of refused calls
+	refusedAt time.Time
+
+	failures  int // consecutive failed or silent calls
+	silent    bool
+	outUntil  time.Time
+	report    LoadReport
+	reportAt  time.Time
+	leavingAt time.Time
+	source    LeaveSource
+	// unhealthyAt is when the health endpoint last reported a fault.
+	unhealthyAt time.Time
+}
+
+const (
+	// latencyWeight is the weight of a new sample; about the last 8 calls
+	// count, so that a slow upstream loses calls within tens of calls.
+	latencyWeight = 1.0 / 8
+	// refusedWeight is the weight of one call in the refused share.
+	refusedWeight = 1.0 / 8
+	// refusedHalfLife lets a refused share fade without calls, so that an
+	// upstream whose flood has ended is tried again.
+	refusedHalfLife = 500 * time.Millisecond
+	// busyShare is the refused share from which an upstream counts as busy.
+	busyShare = 0.5
+	// failureLimit is the number of consecutive failures that takes an
+	// upstream out. One failure may be the call's own doing.
+	failureLimit = 2
+	// outFirst and outMax bound the doubling time between probes.
+	outFirst = 500 * time.Millisecond
+	outMax   = 15 * time.Second
+	// leavingMemory is how long a sign of leaving counts if the same process
+	// stays in the member view; a wrong sign must not last forever.
+	leavingMemory = 60 * time.Second
+	// silenceLatencies is how many mean latencies without progress count as
+	// silence for services that are slower than Options.Silence.
+	silenceLatencies = 8
+	// unhealthyMemory is how long a report of the health endpoint counts.
+	unhealthyMemory = 5 * time.Second
+)
+
+// sync starts over when the VM runs another process.
+func (b *belief) sync(now time.Time, boot uint64) {
+	if b.firstSeen.IsZero() || boot > b.boot {
+		outstanding := b.outstanding
+		*b = belief{boot: boot, firstSeen: now, outstanding: outstanding, progressAt: now}
+	}
+	b.touched = now
+}
+
+func (b *belief) state(now time.Time, o Options) state {
+	if !b.leavingAt.IsZero() && now.Sub(b.leavingAt) < leavingMemory {
+		return stateLeaving
+	}
+	if b.failures >= failureLimit || b.silent {
+		if now.Before(b.outUntil) || b.outstanding > 0 {
+			return b.outState()
+		}
+		return stateProbe
+	}
+	if b.stalled(now, o) {
+		return stateSilent
+	}
+	if b.refusedShare(now) > busyShare {
+		return stateBusy
+	}
+	return stateServing
+}
+
+func (b *belief) outState() state {
+	if b.silent {
+		return stateSilent
+	}
+	return stateFailed
+}
+
+// stalled reports whether own calls are outstanding without any progress.
+func (b *belief) stalled(now time.Time, o Options) bool {
+	limit := max(o.Silence, time.Duration(silenceLatencies*b.latency*float64(time.Second)))
+	return b.outstanding > 0 && now.Sub(b.progressAt) > limit
+}
+
+func (b *belief) refusedShare(now time.Time) float64 {
+	if b.refused == 0 {
+		return 0
+	}
+	return b.refused * math.Exp2(-now.Sub(b.refusedAt).Seconds()/refusedHalfLife.Seconds())
+}
+
+func (b *belief) observeRefused(now time.Time, refused float64) {
+	b.refused = b.refusedShare(now)
+	b.refused += refusedWeight * (refused - b.refused)
+	b.refusedAt = now
+}
+
+func (b *belief) observeLatency(now time.Time, d time.Duration) {
+	if b.latencyAt.IsZero() {
+		b.latency = d.Seconds()
+	} else {
+		b.latency += latencyWeight * (d.Seconds() - b.latency)
+	}
+	b.latencyAt = now
+}
+
+// fail takes the upstream out after failureLimit failures in a row. Calls that
+// were already in flight when it was taken out do not lengthen its time out.
+func (b *belief) fail(now time.Time, silent bool) {
+	if now.Before(b.outUntil) {
+		return
+	}
+	b.failures++
+	b.silent = b.silent || silent
+	if b.failures >= failureLimit || b.silent {
+		out := outFirst << min(b.failures-1, 5)
+		b.outUntil = now.Add(min(out, outMax))
+	}
+}
+
+func (b *belief) succeed() {
+	b.failures, b.silent, b.outUntil = 0, false, time.Time{}
+}
+
+// ramp returns the share of calls that a new process may get, 0 to 1.
+func (b *belief) ramp(now time.Time, o Options) float64 {
+	age := now.Sub(b.firstSeen)
+	if boot := time.UnixMilli(int64(b.boot)); boot.Before(now) {
+		age = max(age, now.Sub(boot))
+	}
+	return max(minRamp, min(1, age.Seconds()/o.RampTime.Seconds()))
+}
+
+// minRamp lets a cold upstream get enough calls to warm up.
+const minRamp = 0.1
+
+// expected returns the latency to expect in seconds. Own latency, outstanding
+// and refused calls weigh in full; the report's part fades with its age.
+func (b *belief) expected(now time.Time, o Options) float64 {
+	base := b.latency
+	if base == 0 {
+		base = unknownLatency.Seconds()
+	}
+	slots := float64(max(b.report.Slots, 1))
+	queue := float64(b.outstanding) / slots
+	if !b.reportAt.IsZero() {
+		fresh := 1 - now.Sub(b.reportAt).Seconds()/o.ReportAge.Seconds()
+		if fresh > 0 {
+			queue = max(queue, fresh*float64(b.report.Running+b.report.Waiting)/slots)
+		}
+	}
+	cost := base * (1 + queue)
+	cost *= 1 + refusedCost*b.refusedShare(now) + failedCost*float64(b.failures)
+	if !b.unhealthyAt.IsZero() && now.Sub(b.unhealthyAt) < unhealthyMemory {
+		cost *= unhealthyCost
+	}
+	return cost / b.ramp(now, o)
+}
+
+const (
+	// unknownLatency stands for an upstream without observations. It is low,
+	// so that unknown upstreams get tried.
+	unknownLatency = 5 * time.Millisecond
+	// refusedCost and failedCost multiply the expected latency by own
+	// observations; unhealthyCost by a health report, which may be wrong and
+	// so must weigh less than one own failure.
+	refusedCost   = 10
+	failedCost    = 4
+	unhealthyCost = 3
+)
--- /dev/null
+++ b/internal/routing/outcome.go
@@ -0,0 +1,22 @@
+package routing
+
+// Outcome is how a call that was sent to an upstream ended, as its sender saw
+// it.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// OutcomeAnswered: a complete answer came back, whatever its status.
+	OutcomeAnswered Outcome = iota
+	// OutcomeRefused: the upstream's node did not run the call (overloaded).
+	OutcomeRefused
+	// OutcomeLeaving: the upstream's node did not run the call because the
+	// upstream leaves.
+	OutcomeLeaving
+	// OutcomeFailed: the connection could not be opened or broke.
+	OutcomeFailed
+	// OutcomeSilent: the call ended without any sign from the upstream.
+	OutcomeSilent
+	// OutcomeCanceled: the caller left; this says nothing about the upstream.
+	OutcomeCanceled
+)
--- /dev/null
+++ b/internal/routing/pool.go
@@ -0,0 +1,37 @@
+package routing
+
+import "math/rand/v2"
+
+// pool samples two candidates of one kind in one scope at random.
+type pool struct {
+	count int
+	pair  [2]assessment
+}
+
+// add keeps a uniform sample of two of all candidates seen so far.
+func (p *pool) add(a assessment, rng *rand.Rand) {
+	p.count++
+	if p.count <= 2 {
+		p.pair[p.count-1] = a
+		return
+	}
+	if i := rng.IntN(p.count); i < 2 {
+		p.pair[i] = a
+	}
+}
+
+// choose returns the better of the two by expected latency. A cold upstream
+// that wins is kept only with the probability of its ramp.
+func (p *pool) choose(rng *rand.Rand) assessment {
+	if p.count == 1 {
+		return p.pair[0]
+	}
+	first, second := p.pair[0], p.pair[1]
+	if second.expected < first.expected || second.expected == first.expected && rng.IntN(2) == 0 {
+		first, second = second, first
+	}
+	if first.ramp < second.ramp && rng.Float64() > first.ramp {
+		return second
+	}
+	return first
+}
--- a/internal/routing/scope.go
+++ b/internal/routing/scope.go
@@ -1,5 +1,7 @@
 package routing
 
+import "github.com/filbertpier/filbertpier/internal/member"
+
 // Scope tells how far away the chosen upstream is.
 type Scope string
 
@@ -9,3 +11,16 @@
 	ScopeRegion Scope = "region"
 	ScopeRemote Scope = "remote"
 )
+
+var scopes = [...]Scope{ScopeZone, ScopeRegion, ScopeRemote}
+
+func scopeIndex(self, m member.Member) int {
+	switch {
+	case m.Region != self.Region:
+		return 2
+	case m.Zone != self.Zone:
+		return 1
+	default:
+		return 0
+	}
+}
