Limit calls by rank, floor, deadline and queue bound

Cause: the limiter had one unbounded queue, no floors and ran calls that could no longer meet their deadline. Ruled out: one heap under one lock, because cancellation and insertion of all ranks would contend with slot accounting. Change: Gate decides with the time as argument (queue shard per rank, ledger of slots with floor credit); Limiter lets goroutines wait. Acquire and SetSlots keep their signatures; SetLimits, Drain and Report are new.

--- /dev/null
+++ b/internal/admission/ledger.go
@@ -0,0 +1,126 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+// ledger keeps the slots of an upstream and each rank's use of them.
+type ledger struct {
+	// mu guards limits, running, advancedAt and the accounts of all ranks.
+	mu         sync.Mutex
+	limits     Limits
+	running    int
+	advancedAt time.Time
+}
+
+// reserve takes a free slot for the rank that goes next, or returns nil.
+func (l *ledger) reserve(now time.Time, table *rankTable) *rankEntry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running >= l.limits.maxRunning() {
+		return nil
+	}
+	l.advance(now, table)
+	next := l.next(table)
+	if next == nil {
+		return nil
+	}
+	l.running++
+	next.account.running++
+	return next
+}
+
+// tryReserve takes a free slot for a rank if no call waits.
+func (l *ledger) tryReserve(now time.Time, table *rankTable, e *rankEntry) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running >= l.limits.maxRunning() || table.anyWaiting(nil) {
+		return false
+	}
+	l.advance(now, table)
+	l.running++
+	e.account.running++
+	return true
+}
+
+// next returns the rank furthest behind its floor, else the most urgent rank
+// that has work.
+func (l *ledger) next(table *rankTable) *rankEntry {
+	var first, owed *rankEntry
+	var most float64
+	for _, e := range table.ordered {
+		if e.idle() {
+			continue
+		}
+		if first == nil {
+			first = e
+		}
+		if e.rank.Floor <= 0 || e.account.credit <= 0 {
+			continue
+		}
+		if behind := e.account.credit / e.rank.Floor; behind > most {
+			owed, most = e, behind
+		}
+	}
+	if owed != nil {
+		return owed
+	}
+	return first
+}
+
+func (l *ledger) advance(now time.Time, table *rankTable) {
+	elapsed := now.Sub(l.advancedAt)
+	if l.advancedAt.IsZero() || elapsed < 0 {
+		elapsed = 0
+	}
+	l.advancedAt = now
+	for _, e := range table.ordered {
+		if e.rank.Floor > 0 {
+			e.account.advance(e.rank.Floor*float64(l.limits.Slots), !e.idle(), table.anyWaiting(e), elapsed)
+		}
+	}
+}
+
+// release returns a slot. A positive ran is a sample of the service time.
+func (l *ledger) release(now time.Time, table *rankTable, e *rankEntry, ran time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now, table)
+	l.running--
+	e.account.running--
+	if ran > 0 {
+		e.account.service.observe(now, ran)
+	}
+}
+
+// forecast returns the expected service time of a rank and the expected wait
+// behind a number of more urgent calls and of calls of the same rank.
+func (l *ledger) forecast(now time.Time, e *rankEntry, urgent, same int) (service, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	service = e.account.service.estimate(now)
+	slots := float64(l.limits.maxRunning())
+	if slots == 0 {
+		return service, 0
+	}
+	per := float64(service)
+	byOrder := per * float64(urgent+same+1) / slots
+	if e.rank.Floor > 0 {
+		byFloor := per * float64(same+1) / (slots * e.rank.Floor)
+		byOrder = min(byOrder, byFloor)
+	}
+	return service, time.Duration(byOrder)
+}
+
+func (l *ledger) setLimits(limits Limits) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limits = limits
+}
+
+func (l *ledger) snapshot() (limits Limits, running int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limits, l.running
+}
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -3,86 +3,111 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/filbertpier/filbertpier/internal/call"
 )
 
-// Limiter keeps the calls on one upstream within its slots. It is safe for
-// concurrent use.
+// Limiter lets goroutines wait at a Gate. It is safe for concurrent use.
 type Limiter struct {
-	// mu guards slots, running and waiting.
-	mu      sync.Mutex
-	slots   int
-	running int
-	waiting []*waiter
+	gate *Gate
+	now  func() time.Time
+	// mu guards limits.
+	mu     sync.Mutex
+	limits Limits
 }
 
+// readyChannels reuses the channels that waiting calls block on. Each carries
+// one outcome per use and is empty when it is put back.
+var readyChannels = sync.Pool{New: func() any { return make(chan error, 1) }}
+
 // NewLimiter returns a limiter for an upstream with a number of slots.
-func NewLimiter(slots int) *Limiter { return &Limiter{slots: slots} }
+func NewLimiter(slots int) *Limiter { return NewLimiterWith(Limits{Slots: slots}, time.Now) }
 
-// SetSlots changes the number of slots; running calls are not cut off.
-func (l *Limiter) SetSlots(slots int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.slots = slots
-	l.grant()
+// NewLimiterWith returns a limiter that reads the time from now.
+func NewLimiterWith(limits Limits, now func() time.Time) *Limiter {
+	return &Limiter{
+		gate:   NewGate(limits, func(t *Ticket, err error) { t.ready <- err }),
+		now:    now,
+		limits: limits,
+	}
 }
 
-// Acquire waits for a slot until ctx ends. It returns an *OverloadedError; the
-// call has then not run. The release function must be called once.
-func (l *Limiter) Acquire(ctx context.Context, c *call.Call) (release func(), err error) {
-	w := &waiter{order: c.Rank.Order, granted: make(chan struct{})}
-	l.mu.Lock()
-	l.waiting = insertByOrder(l.waiting, w)
-	queued := len(l.waiting)
-	l.grant()
-	l.mu.Unlock()
-	select {
-	case <-w.granted:
-		return l.release, nil
-	case <-ctx.Done():
-	}
+// SetSlots changes the number of slots; running calls are not interrupted.
+func (l *Limiter) SetSlots(slots int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.remove(w) {
-		l.releaseLocked()
+	if l.limits.Slots != slots {
+		l.limits.Slots = slots
+		l.gate.Configure(l.now(), l.limits)
 	}
-	return nil, &OverloadedError{Rank: c.Rank.Name, Queued: queued}
 }
 
-// Load returns the running and waiting calls.
-func (l *Limiter) Load() (running, waiting int) {
+// SetLimits changes slots, connections and ranks. It is cheap when nothing
+// changed, so it may be called for each call.
+func (l *Limiter) SetLimits(limits Limits) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.running, len(l.waiting)
+	if l.limits.equal(limits) {
+		return
+	}
+	l.limits = limits
+	l.gate.Configure(l.now(), limits)
 }
 
-func (l *Limiter) release() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.releaseLocked()
-}
+// Drain refuses all later calls; waiting and running ones finish.
+func (l *Limiter) Drain() { l.gate.Drain() }
 
-func (l *Limiter) releaseLocked() {
-	l.running--
-	l.grant()
+// Acquire waits for a slot until ctx or the call's deadline ends. It returns
+// an *OverloadedError, *LateError, *DrainingError or *CanceledError; the call
+// has then not run. The release function must be called; repeating it has no
+// effect.
+func (l *Limiter) Acquire(ctx context.Context, c *call.Call) (release func(), err error) {
+	t := &Ticket{Rank: c.Rank, Deadline: c.Deadline, ready: readyChannels.Get().(chan error)}
+	granted, err := l.gate.Submit(l.now(), t)
+	if err == nil && !granted {
+		err = l.wait(ctx, t)
+	}
+	readyChannels.Put(t.ready)
+	if err != nil {
+		return nil, err
+	}
+	return func() { l.gate.Release(l.now(), t) }, nil
 }
 
-func (l *Limiter) grant() {
-	for l.running < l.slots && len(l.waiting) > 0 {
-		w := l.waiting[0]
-		l.waiting = l.waiting[1:]
-		l.running++
-		close(w.granted)
+// wait leaves t.ready empty.
+func (l *Limiter) wait(ctx context.Context, t *Ticket) error {
+	select {
+	case err := <-t.ready:
+		return err
+	default:
 	}
+	var expiry <-chan time.Time
+	if !t.Deadline.IsZero() {
+		timer := time.NewTimer(t.Deadline.Sub(l.now()))
+		defer timer.Stop()
+		expiry = timer.C
+	}
+	var ended error
+	select {
+	case err := <-t.ready:
+		return err
+	case <-ctx.Done():
+		ended = &CanceledError{Rank: t.Rank.Name, Err: context.Cause(ctx)}
+	case <-expiry:
+		ended = &LateError{Rank: t.Rank.Name}
+	}
+	if !l.gate.Cancel(t) && <-t.ready == nil {
+		l.gate.Release(l.now(), t)
+	}
+	return ended
 }
 
-func (l *Limiter) remove(w *waiter) bool {
-	for i, other := range l.waiting {
-		if other == w {
-			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
-			return true
-		}
-	}
-	return false
+// Load returns the running and waiting calls.
+func (l *Limiter) Load() (running, waiting int) {
+	r := l.gate.Report()
+	return r.Running, r.Waiting
 }
+
+// Report returns the load for answers to senders.
+func (l *Limiter) Report() Report { return l.gate.Report() }
--- /dev/null
+++ b/internal/admission/rank_entry.go
@@ -0,0 +1,57 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+)
+
+// rankEntry binds a rank's configuration to its queue and its account. The
+// configuration is immutable; a changed one makes a new entry that shares
+// queue and account.
+type rankEntry struct {
+	rank    *config.Rank
+	queue   *rankQueue
+	account *account
+}
+
+// account is a rank's use of the slots, guarded by the ledger's lock.
+type account struct {
+	running int
+	// credit is the slot time in seconds by which the rank is behind its
+	// floor; negative when it is ahead.
+	credit  float64
+	service serviceTime
+}
+
+func newRankEntry(rank *config.Rank) *rankEntry {
+	return &rankEntry{rank: rank, queue: &rankQueue{}, account: &account{}}
+}
+
+// withRank returns an entry with another configuration of the same rank.
+func (e *rankEntry) withRank(rank *config.Rank) *rankEntry {
+	return &rankEntry{rank: rank, queue: e.queue, account: e.account}
+}
+
+// idle reports whether the rank has no waiting call.
+func (e *rankEntry) idle() bool { return e.queue.length.Load() == 0 }
+
+// creditLimit bounds the slot time that a rank can be behind or ahead of its
+// floor, in seconds of its floor. A longer memory makes a burst after a
+// shortage last longer.
+const creditLimit = 1.0
+
+func (a *account) advance(floorSlots float64, waiting, contended bool, elapsed time.Duration) {
+	dt := elapsed.Seconds()
+	if waiting {
+		a.credit += floorSlots * dt
+	}
+	if contended {
+		a.credit -= float64(a.running) * dt
+	}
+	if !waiting && a.credit > 0 {
+		a.credit = 0
+	}
+	limit := creditLimit * floorSlots
+	a.credit = min(max(a.credit, -limit), limit)
+}
