Retry calls on other upstreams at the entry node

Ruled out: retrying at the caller, which cannot tell whether a call ran. Change: the entry node keeps bodies of up to 64 KB and sends a call to up to three different upstreams within its deadline, if the call did not run or its route is idempotent and nothing was sent to the caller. A nested call is not retried when it may have run. A failure without a connection counts as not run; the outcome of several attempts is 'not run' only if all were. Each decision is counted in call_decisions_total.

--- a/internal/call/problem.go
+++ b/internal/call/problem.go
@@ -47,6 +47,10 @@
 	_, _ = w.Write(body)
 }
 
+// statusClientClosed is the customary status for a call whose caller left; the
+// caller does not see it, logs and metrics do.
+const statusClientClosed = 499
+
 // retrySoon is the time after which an overloaded or joining node may have
 // recovered.
 const retrySoon = 500 * time.Millisecond
@@ -72,5 +76,6 @@
 	ProblemLeaving:          {http.StatusServiceUnavailable, "the upstream is leaving", retrySoon},
 	ProblemDepthExceeded:    {http.StatusLoopDetected, "calls are nested too deep", 0},
 	ProblemAnswerNotKept:    {http.StatusGone, "the call ran and its answer is no longer held", 0},
+	ProblemCancelled:        {statusClientClosed, "the caller left", 0},
 	ProblemTargetMismatched: {http.StatusMisdirectedRequest, "the node does not serve the target", retrySoon},
 }
--- a/internal/call/problem_type.go
+++ b/internal/call/problem_type.go
@@ -19,5 +19,6 @@
 	ProblemLeaving          ProblemType = "urn:filbertpier:problem:upstream-leaving"
 	ProblemDepthExceeded    ProblemType = "urn:filbertpier:problem:depth-exceeded"
 	ProblemAnswerNotKept    ProblemType = "urn:filbertpier:problem:answer-not-kept"
+	ProblemCancelled        ProblemType = "urn:filbertpier:problem:cancelled"
 	ProblemTargetMismatched ProblemType = "urn:filbertpier:problem:target-mismatch"
 )
--- /dev/null
+++ b/internal/dataplane/attempt.go
@@ -0,0 +1,11 @@
+package dataplane
+
+import "github.com/filbertpier/filbertpier/internal/call"
+
+// Attempt is a failed attempt to run a call, as a Retrier judges it.
+type Attempt struct {
+	Call *call.Call
+	// Number counts the attempts of the call, from 1.
+	Number  int
+	Problem *call.Problem
+}
--- /dev/null
+++ b/internal/dataplane/body_stream.go
@@ -0,0 +1,47 @@
+package dataplane
+
+import (
+	"io"
+	"sync"
+)
+
+// bodyStream is the reader of a body that one attempt streams. It is safe for
+// concurrent use: a transport may still read after its round trip has failed.
+type bodyStream struct {
+	// mu guards src, started and closed.
+	mu      sync.Mutex
+	src     io.Reader
+	started bool
+	closed  bool
+}
+
+// Read implements io.Reader.
+func (s *bodyStream) Read(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return 0, io.ErrClosedPipe
+	}
+	s.started = true
+	return s.src.Read(p)
+}
+
+// Close implements io.Closer. It does not close the caller's body, which
+// belongs to the HTTP server, and does not wait for a blocked Read.
+func (s *bodyStream) Close() error {
+	if s.mu.TryLock() {
+		s.closed = true
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// revoke ends the stream and reports whether no byte of it has been read.
+func (s *bodyStream) revoke() bool {
+	if !s.mu.TryLock() {
+		return false
+	}
+	defer s.mu.Unlock()
+	s.closed = true
+	return !s.started
+}
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -13,6 +13,7 @@
 	r    *http.Request
 	call *call.Call
 	snap *snapshot.Snapshot
+	body *body
 	// started is set once the answer's header has been sent.
 	started bool
 }
--- a/internal/dataplane/forward.go
+++ b/internal/dataplane/forward.go
@@ -30,18 +30,11 @@
 	s.cfg.Decisions.Line("call-admitted", "route", x.call.Route.Name, "rank", x.call.Rank.Name)
 	req := s.outgoing(ctx, x, s.cfg.UpstreamAddr)
 	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
-	resp, err := s.upstream.RoundTrip(req)
+	resp, err := s.roundTrip(x, s.upstream, req)
 	if err != nil {
-		return s.upstreamFailure(ctx, err)
+		return err
 	}
-	return s.copyAnswer(x, resp, call.RanYes)
-}
-
-func (s *Server) upstreamFailure(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return call.NewProblem(call.ProblemDeadline, call.RanUnknown, "while the upstream ran the call", err)
-	}
-	return call.NewProblem(call.ProblemUpstreamFailed, call.RanUnknown, "", err)
+	return s.copyAnswer(ctx, x, resp)
 }
 
 // forward sends a call to the node beside the chosen upstream.
@@ -51,54 +44,52 @@
 	req := s.outgoing(ctx, x, to.CallAddr)
 	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
 	req.Header.Set(call.HeaderTarget, to.VM)
-	resp, err := s.peers.RoundTrip(req)
+	resp, err := s.roundTrip(x, s.peers, req)
 	if err != nil {
-		return s.upstreamFailure(ctx, err)
+		return err
 	}
-	return s.copyAnswer(x, resp, call.Ran(resp.Header.Get(call.HeaderRan)))
+	if p := peerProblem(resp); p != nil {
+		return p
+	}
+	return s.copyAnswer(ctx, x, resp)
 }
 
 // outgoing copies the caller's request for the next hop.
 func (s *Server) outgoing(ctx context.Context, x *exchange, host string) *http.Request {
 	in := x.r
 	out := &http.Request{
-		Method:        in.Method,
-		URL:           &url.URL{Scheme: "http", Host: host, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery},
-		Header:        make(http.Header, len(in.Header)+6),
-		Body:          in.Body,
-		ContentLength: in.ContentLength,
-		Host:          in.Host,
-		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: in.Method,
+		URL:    &url.URL{Scheme: "http", Host: host, Path: in.URL.Path, RawPath: in.URL.RawPath, RawQuery: in.URL.RawQuery},
+		Header: make(http.Header, len(in.Header)+6),
+		Host:   in.Host,
+		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	copyHeader(out.Header, in.Header)
 	out.Header.Del(call.HeaderTarget)
 	out.Header.Set(call.HeaderRank, x.call.Rank.Name)
 	out.Header.Set(call.HeaderDeadline, strconv.FormatInt(time.Until(x.call.Deadline).Milliseconds(), 10))
-	if in.ContentLength == 0 {
-		out.Body = http.NoBody
-	}
+	x.body.attach(out)
 	return out.WithContext(ctx)
 }
 
 // copyAnswer streams an answer to the caller. A body that ends early ends the
 // caller's connection, so that it is never taken for a whole one.
-func (s *Server) copyAnswer(x *exchange, resp *http.Response, ran call.Ran) error {
+func (s *Server) copyAnswer(ctx context.Context, x *exchange, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
 	h := x.w.Header()
-	copyHeader(h, resp.Header)
-	for name := range h {
-		if strings.HasPrefix(name, call.HeaderPrefix) {
-			delete(h, name)
+	for name, values := range resp.Header {
+		if !hopHeaders[name] && !strings.HasPrefix(name, call.HeaderPrefix) {
+			h[name] = values
 		}
 	}
 	h.Set(call.HeaderVersion, x.snap.ID.String())
-	h.Set(call.HeaderRan, string(ran))
+	h.Set(call.HeaderRan, string(call.RanYes))
 	x.started = true
 	x.w.WriteHeader(resp.StatusCode)
 	buf := s.buffers.get()
 	defer s.buffers.put(buf)
 	if _, err := io.CopyBuffer(writerOnly{x.w}, resp.Body, *buf); err != nil {
-		return call.NewProblem(call.ProblemUpstreamFailed, call.RanUnknown, "the answer was cut short", err)
+		return failure(x, ctx, call.RanUnknown, err)
 	}
 	return nil
 }
--- a/internal/dataplane/limits.go
+++ b/internal/dataplane/limits.go
@@ -17,4 +17,10 @@
 	copyBufferBytes = 32 << 10
 	// defaultConnections is used until a version tells the upstream's limit.
 	defaultConnections = 100
+	// maxAttempts bounds the upstreams that one call is sent to.
+	maxAttempts = 3
+	// replayBytes bounds the request bodies kept for another attempt.
+	replayBytes = 64 << 10
+	// maxProblemBytes bounds the problem details read from another node.
+	maxProblemBytes = 16 << 10
 )
--- /dev/null
+++ b/internal/dataplane/round_trip.go
@@ -0,0 +1,40 @@
+package dataplane
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/filbertpier/filbertpier/internal/call"
+)
+
+// roundTrip sends a request once. It returns a *call.Problem that tells whether
+// the request can have reached the other side: without a connection it cannot.
+func (s *Server) roundTrip(x *exchange, t *http.Transport, req *http.Request) (*http.Response, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	ctx := req.Context()
+	resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil {
+		return resp, nil
+	}
+	ran := call.RanUnknown
+	if !sent.Load() {
+		ran = call.RanNo
+	}
+	return nil, failure(x, ctx, ran, err)
+}
+
+// failure classifies an error of a round trip or of an answer's body.
+func failure(x *exchange, ctx context.Context, ran call.Ran, err error) *call.Problem {
+	switch {
+	case x.r.Context().Err() != nil && ctx.Err() != nil:
+		return call.NewProblem(call.ProblemCancelled, ran, "the caller left", err)
+	case ctx.Err() != nil:
+		return call.NewProblem(call.ProblemDeadline, ran, "while the call ran", err)
+	case ran == call.RanNo:
+		return call.NewProblem(call.ProblemUpstreamFailed, ran, "no connection", err)
+	}
+	return call.NewProblem(call.ProblemUpstreamFailed, ran, "the connection broke", err)
+}
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -1,7 +1,6 @@
 package dataplane
 
 import (
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -21,6 +20,7 @@
 	peers    *http.Transport
 	upstream *http.Transport
 	buffers  bufferPool
+	retrier  Retrier
 }
 
 // NewServer returns a server for the upstream that cfg names.
@@ -36,6 +36,7 @@
 		peers:    newTransport(cfg.LocalIP, 0),
 		upstream: newTransport(cfg.LocalIP, defaultConnections),
 		buffers:  newBufferPool(),
+		retrier:  attemptLimit{max: maxAttempts},
 	}
 }
 
@@ -98,25 +99,11 @@
 	}
 	c.Version = required
 	s.cfg.Invariants.Check(!snap.ID.Less(required), "served-version", "serving %s, required %s", snap.ID, required)
-	return &exchange{w: w, r: r, call: c, snap: snap}, nil
-}
-
-// serveEntry chooses an upstream and sends the call to the node beside it.
-func (s *Server) serveEntry(x *exchange) error {
-	service, ok := x.snap.Document.Service(x.call.Route.Service)
-	s.cfg.Invariants.Check(ok, "route-service", "route %s points at unknown service %s", x.call.Route.Name, x.call.Route.Service)
-	self := s.control.Self()
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	d, err := s.picker.Pick(s.control.Table().View(time.Now()), self, service.Selector, nil, rng)
+	b, err := readBody(r)
 	if err != nil {
-		return call.NewProblem(call.ProblemNoUpstream, call.RanNo, err.Error(), err)
-	}
-	s.cfg.Decisions.Line("call-routed", "route", x.call.Route.Name, "rank", x.call.Rank.Name, "vm", d.Member.VM,
-		"scope", d.Scope, "candidates", d.Candidates, "version", x.snap.ID.Version)
-	if d.Member.VM == self.VM {
-		return s.serveLocal(x)
+		return nil, err
 	}
-	return s.forward(x, d.Member)
+	return &exchange{w: w, r: r, call: c, snap: snap, body: b}, nil
 }
 
 // serveTargeted runs a call that another node sent to this node's upstream.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -26,6 +26,9 @@
 	Calls *prometheus.CounterVec
 	// CallSeconds is the time from entry to the end of the answer, in seconds.
 	CallSeconds *prometheus.HistogramVec
+	// CallDecisions counts decisions about calls by name; sampling of the log
+	// does not affect it.
+	CallDecisions *prometheus.CounterVec
 	// LogLinesSampledOut counts decision log lines left out by sampling.
 	LogLinesSampledOut prometheus.Counter
 	// Violations counts broken invariants by name.
@@ -44,11 +47,12 @@
 		Version:            prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "version", Help: "Version number in force."}),
 		Calls:              counterVec("calls_total", "Calls by route, rank and outcome.", "route", "rank", "outcome"),
 		CallSeconds:        callSeconds(),
+		CallDecisions:      counterVec("call_decisions_total", "Decisions about calls.", "decision"),
 		LogLinesSampledOut: counter("log_lines_sampled_out_total", "Decision log lines left out by sampling."),
 		Violations:         counterVec("invariant_violations_total", "Broken invariants.", "invariant"),
 	}
 	m.Registry.MustRegister(m.Decisions, m.ControlBytes, m.DroppedMessages, m.SilentConnections, m.PlatformReads,
-		m.Version, m.Calls, m.CallSeconds, m.LogLinesSampledOut, m.Violations)
+		m.Version, m.Calls, m.CallSeconds, m.CallDecisions, m.LogLinesSampledOut, m.Violations)
 	return m
 }
 
