Run calls of non-idempotent routes at most once under keys that name their owner

Ruled out: a key that any node may run (needs shared state); resending refused keys (a delayed copy of a refused call could still run after its caller was told that it did not, so a refusal is final for its key). Change: internal/once holds keys and the owner's sharded table; nodes issue keys locally and forward keyed calls to the owner only. A refusal not decided by the owner's table is told as unknown. http.Transport is kept from resending keyed requests by itself. An owner refuses copies that arrive after the entry node's deadline.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -18,6 +18,10 @@
 	Rank  *config.Rank
 	// Deadline is when the caller no longer needs an answer.
 	Deadline time.Time
+	// Expires is the deadline by the entry node's clock; zero if the call does
+	// not come from another node. It tells a copy that was delayed, for example
+	// while this process was paused, from one that has time left.
+	Expires time.Time
 	// Key is the idempotency key, or empty.
 	Key string
 	// Version is the oldest version that the call accepts.
@@ -65,6 +69,13 @@
 		left = min(left, ms)
 	}
 	c.Deadline = now.Add(time.Duration(left) * time.Millisecond)
+	if text := r.Header.Get(HeaderExpires); text != "" && r.Header.Get(HeaderTarget) != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return NewProblem(ProblemBadRequest, RanNo, HeaderExpires+" is not a time", err)
+		}
+		c.Expires = time.UnixMilli(ms)
+	}
 	return nil
 }
 
--- a/internal/call/headers.go
+++ b/internal/call/headers.go
@@ -20,6 +20,15 @@
 	HeaderRoute = "Filbertpier-Route"
 	// HeaderIdempotencyKey identifies a non-idempotent call.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderExpires is the deadline by the entry node's clock, in Unix
+	// milliseconds; set by the entry node on calls with an idempotency key.
+	HeaderExpires = "Filbertpier-Expires"
+	// HeaderOwner is set on answers that the owner of the idempotency key has
+	// decided; it holds the boot of the owner's process.
+	HeaderOwner = "Filbertpier-Owner"
 	// HeaderPrefix is shared by the headers that only nodes may set on answers.
 	HeaderPrefix = "Filbertpier-"
 )
+
+// KeysPath is where nodes issue idempotency keys.
+const KeysPath = "/.well-known/filbertpier/keys"
--- a/internal/call/problem.go
+++ b/internal/call/problem.go
@@ -72,6 +72,8 @@
 	ProblemUpstreamFailed:   {http.StatusBadGateway, "the upstream failed", retrySoon},
 	ProblemOutcomeUnknown:   {http.StatusBadGateway, "the outcome is unknown", 0},
 	ProblemKeyRequired:      {http.StatusBadRequest, "an idempotency key issued by a node is required", 0},
+	ProblemKeyReused:        {http.StatusUnprocessableEntity, "the idempotency key belongs to another request", 0},
+	ProblemKeyRefused:       {http.StatusConflict, "the call was refused earlier and will not run under this idempotency key", 0},
 	ProblemQuarantined:      {http.StatusUnprocessableEntity, "the request crashed upstreams", 0},
 	ProblemLeaving:          {http.StatusServiceUnavailable, "the upstream is leaving", retrySoon},
 	ProblemDepthExceeded:    {http.StatusLoopDetected, "calls are nested too deep", 0},
--- a/internal/call/problem_type.go
+++ b/internal/call/problem_type.go
@@ -15,6 +15,8 @@
 	ProblemUpstreamFailed   ProblemType = "urn:filbertpier:problem:upstream-failed"
 	ProblemOutcomeUnknown   ProblemType = "urn:filbertpier:problem:outcome-unknown"
 	ProblemKeyRequired      ProblemType = "urn:filbertpier:problem:idempotency-key-required"
+	ProblemKeyReused        ProblemType = "urn:filbertpier:problem:idempotency-key-reused"
+	ProblemKeyRefused       ProblemType = "urn:filbertpier:problem:idempotency-key-refused"
 	ProblemQuarantined      ProblemType = "urn:filbertpier:problem:quarantined"
 	ProblemLeaving          ProblemType = "urn:filbertpier:problem:upstream-leaving"
 	ProblemDepthExceeded    ProblemType = "urn:filbertpier:problem:depth-exceeded"
--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -45,6 +45,9 @@
 	case r.ContentLength >= 0:
 		b.whole = int64(n) == r.ContentLength
 	}
+	if b.whole {
+		b.length = int64(n)
+	}
 	return b, nil
 }
 
--- a/internal/dataplane/config.go
+++ b/internal/dataplane/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/internal/telemetry"
 )
 
@@ -17,7 +18,9 @@
 	// refuses fewer calls right after a change and delays those it refuses.
 	// Zero means 500 ms.
 	CatchUpLimit time.Duration
-	Metrics      *telemetry.Metrics
-	Decisions    *telemetry.DecisionLog
-	Invariants   *telemetry.Invariants
+	// Keys bounds the table of idempotency keys; zero fields take defaults.
+	Keys       once.Config
+	Metrics    *telemetry.Metrics
+	Decisions  *telemetry.DecisionLog
+	Invariants *telemetry.Invariants
 }
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -1,9 +1,13 @@
 package dataplane
 
 import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"net/http"
 
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
@@ -14,6 +18,36 @@
 	call *call.Call
 	snap *snapshot.Snapshot
 	body *body
+	// base is the context in which the call runs; it ends when the caller
+	// leaves unless the call has an idempotency key that this node owns.
+	base context.Context
 	// started is set once the answer's header has been sent.
 	started bool
+	// final is set if the owner of the idempotency key has decided the outcome.
+	final bool
+}
+
+// fingerprint identifies the content of the request. Of a large body it covers
+// the first replayBytes and the length.
+func (x *exchange) fingerprint() once.Fingerprint {
+	h := sha256.New()
+	var n [8]byte
+	for _, part := range []string{x.r.Method, x.r.URL.EscapedPath(), x.r.URL.RawQuery, string(x.body.head)} {
+		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
+		_, _ = h.Write(n[:])
+		_, _ = h.Write([]byte(part))
+	}
+	binary.BigEndian.PutUint64(n[:], uint64(x.body.length))
+	_, _ = h.Write(n[:])
+	return once.Fingerprint(h.Sum(nil))
+}
+
+// outcomeOpen reports whether a refusal says nothing about other copies of the
+// call: only the owner of an idempotency key knows whether one of them ran.
+func (x *exchange) outcomeOpen() bool {
+	if x.final || x.call != nil && x.call.Route.Idempotent {
+		return false
+	}
+	_, err := once.ParseKey(x.r.Header.Get(call.HeaderIdempotencyKey))
+	return err == nil
 }
--- a/internal/dataplane/finish.go
+++ b/internal/dataplane/finish.go
@@ -10,10 +10,13 @@
 
 // finish sends a problem, or ends the connection if the answer has begun, and
 // counts the outcome.
-func (s *Server) finish(start time.Time, w http.ResponseWriter, r *http.Request, x *exchange, err error) {
+func (s *Server) finish(start time.Time, w http.ResponseWriter, x *exchange, err error) {
 	route, rank := "", ""
-	if x != nil {
-		route, rank = x.call.Route.Name, x.call.Rank.Name
+	if x.call != nil {
+		route = x.call.Route.Name
+		if x.call.Rank != nil {
+			rank = x.call.Rank.Name
+		}
 	}
 	outcome := "served"
 	var problem *call.Problem
@@ -25,8 +28,12 @@
 	if problem == nil {
 		return
 	}
+	if problem.Ran == call.RanNo && x.outcomeOpen() {
+		p := *problem
+		p.Ran, problem = call.RanUnknown, &p
+	}
 	s.cfg.Decisions.Line("call-failed", "route", route, "rank", rank, "type", problem.Type, "ran", problem.Ran, "detail", problem.Detail)
-	if x != nil && x.started {
+	if x.started {
 		panic(http.ErrAbortHandler)
 	}
 	if snap := s.control.Store().Current(); snap != nil {
--- a/internal/dataplane/forward.go
+++ b/internal/dataplane/forward.go
@@ -20,13 +20,17 @@
 		return call.NewProblem(call.ProblemTargetMismatched, call.RanNo, "this is "+self.VM, nil)
 	}
 	s.limiter.SetSlots(service.Slots)
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.call.Deadline)
+	ctx, cancel := context.WithDeadline(x.base, x.call.Deadline)
 	defer cancel()
 	release, err := s.limiter.Acquire(ctx, x.call)
 	if err != nil {
 		return call.NewProblem(call.ProblemOverloaded, call.RanNo, err.Error(), err)
 	}
 	defer release()
+	// A process that was paused may get here before its timers have ended ctx.
+	if !time.Now().Before(x.call.Deadline) {
+		return call.NewProblem(call.ProblemDeadline, call.RanNo, "while waiting for a slot", nil)
+	}
 	s.cfg.Decisions.Line("call-admitted", "route", x.call.Route.Name, "rank", x.call.Rank.Name)
 	req := s.outgoing(ctx, x, s.cfg.UpstreamAddr)
 	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
@@ -39,12 +43,9 @@
 
 // forward sends a call to the node beside the chosen upstream.
 func (s *Server) forward(x *exchange, to member.Member) error {
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.call.Deadline)
+	ctx, cancel := context.WithDeadline(x.base, x.call.Deadline)
 	defer cancel()
-	req := s.outgoing(ctx, x, to.CallAddr)
-	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
-	req.Header.Set(call.HeaderTarget, to.VM)
-	resp, err := s.roundTrip(x, s.peers, req)
+	resp, err := s.sendToPeer(ctx, x, to)
 	if err != nil {
 		return err
 	}
@@ -54,6 +55,16 @@
 	return s.copyAnswer(ctx, x, resp)
 }
 
+func (s *Server) sendToPeer(ctx context.Context, x *exchange, to member.Member) (*http.Response, error) {
+	req := s.outgoing(ctx, x, to.CallAddr)
+	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
+	req.Header.Set(call.HeaderTarget, to.VM)
+	if !x.call.Route.Idempotent {
+		req.Header.Set(call.HeaderExpires, strconv.FormatInt(x.call.Deadline.UnixMilli(), 10))
+	}
+	return s.roundTrip(x, s.peers, req)
+}
+
 // outgoing copies the caller's request for the next hop.
 func (s *Server) outgoing(ctx context.Context, x *exchange, host string) *http.Request {
 	in := x.r
@@ -66,9 +77,13 @@
 	}
 	copyHeader(out.Header, in.Header)
 	out.Header.Del(call.HeaderTarget)
+	out.Header.Del(call.HeaderExpires)
 	out.Header.Set(call.HeaderRank, x.call.Rank.Name)
 	out.Header.Set(call.HeaderDeadline, strconv.FormatInt(time.Until(x.call.Deadline).Milliseconds(), 10))
 	x.body.attach(out)
+	if !x.call.Route.Idempotent {
+		preventReplay(out)
+	}
 	return out.WithContext(ctx)
 }
 
--- /dev/null
+++ b/internal/dataplane/issue_key.go
@@ -0,0 +1,53 @@
+package dataplane
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/once"
+)
+
+// issueKey answers a request for an idempotency key. It chooses the owner from
+// the node's own view and asks no other node.
+func (s *Server) issueKey(now time.Time, x *exchange) error {
+	if x.r.Method != http.MethodPost {
+		return call.NewProblem(call.ProblemBadRequest, call.RanNo, "use POST", nil)
+	}
+	if !s.control.Ready(now) {
+		return call.NewProblem(call.ProblemNotReady, call.RanNo, "", nil)
+	}
+	required, err := call.ParseVersion(x.r.Header)
+	if err != nil {
+		return err
+	}
+	if x.snap, err = s.snapshotFor(x.r.Context(), required); err != nil {
+		return err
+	}
+	name := x.r.URL.Query().Get("route")
+	routes := x.snap.Document.Routes()
+	at := slices.IndexFunc(routes, func(r *config.Route) bool { return r.Name == name })
+	if at < 0 {
+		return call.NewProblem(call.ProblemNoRoute, call.RanNo, "route "+name, nil)
+	}
+	x.call = &call.Call{Route: routes[at]}
+	d, err := s.pick(x, nil)
+	if err != nil {
+		return err
+	}
+	var nonce [16]byte
+	_, _ = rand.Read(nonce[:])
+	key := once.NewKey(now, d.Member.VM, d.Member.Boot, nonce)
+	s.cfg.Decisions.Line("key-issued", "route", name, "vm", key.VM, "scope", d.Scope, "candidates", d.Candidates)
+	h := x.w.Header()
+	h.Set(call.HeaderVersion, x.snap.ID.String())
+	h.Set(call.HeaderIdempotencyKey, key.String())
+	h.Set("Content-Type", "application/json")
+	x.w.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(x.w).Encode(issuedKey{Key: key.String(), ValidMs: once.Validity.Milliseconds()})
+	return nil
+}
--- /dev/null
+++ b/internal/dataplane/issued_key.go
@@ -0,0 +1,8 @@
+package dataplane
+
+// issuedKey is the answer to a request for an idempotency key.
+type issuedKey struct {
+	Key string `json:"key"`
+	// ValidMs is how long the key can be used, in milliseconds.
+	ValidMs int64 `json:"validMs"`
+}
--- /dev/null
+++ b/internal/dataplane/keyed.go
@@ -0,0 +1,146 @@
+package dataplane
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/once"
+)
+
+// serveKeyed serves a call of a route that is not idempotent. Only the owner
+// named in its key may run it; every other node forwards it there.
+func (s *Server) serveKeyed(x *exchange) error {
+	key, err := once.ParseKey(x.call.Key)
+	if err != nil {
+		return call.NewProblem(call.ProblemKeyRequired, call.RanNo, err.Error(), err)
+	}
+	self := s.control.Self()
+	if key.VM == self.VM {
+		if key.Boot != self.Boot {
+			return s.ownerGone(x, key, "the owner has restarted")
+		}
+		return s.serveOwned(x, key)
+	}
+	owner, ok := s.control.Table().Get(key.VM)
+	switch {
+	case !ok || owner.Status == member.Dead:
+		return s.ownerGone(x, key, "the owner is gone")
+	case owner.Boot > key.Boot:
+		return s.ownerGone(x, key, "the owner has restarted")
+	}
+	s.cfg.Decisions.Line("key-forwarded", "route", x.call.Route.Name, "vm", owner.VM)
+	return s.forwardToOwner(x, owner, key)
+}
+
+func (s *Server) ownerGone(x *exchange, key once.Key, detail string) error {
+	s.cfg.Decisions.Line("key-owner-gone", "route", x.call.Route.Name, "vm", key.VM, "boot", key.Boot, "detail", detail)
+	return call.NewProblem(call.ProblemOutcomeUnknown, call.RanUnknown, detail, nil)
+}
+
+// forwardToOwner sends a call to the owner of its key. The call is told as not
+// run only if the owner's table says so: an earlier copy may have run.
+func (s *Server) forwardToOwner(x *exchange, owner member.Member, key once.Key) error {
+	ctx, cancel := context.WithDeadline(x.base, x.call.Deadline)
+	defer cancel()
+	resp, err := s.sendToPeer(ctx, x, owner)
+	if err != nil {
+		var p *call.Problem
+		if errors.As(err, &p) && p.Type == call.ProblemUpstreamFailed {
+			return call.NewProblem(call.ProblemOutcomeUnknown, call.RanUnknown, "the owner does not answer: "+p.Detail, err)
+		}
+		return err
+	}
+	if p := peerProblem(resp); p != nil {
+		x.final = resp.Header.Get(call.HeaderOwner) == strconv.FormatUint(key.Boot, 10)
+		if p.Type == call.ProblemTargetMismatched {
+			return s.ownerGone(x, key, "another node has the owner's address")
+		}
+		return p
+	}
+	return s.copyAnswer(ctx, x, resp)
+}
+
+// serveOwned decides about a call whose key this process owns.
+func (s *Server) serveOwned(x *exchange, key once.Key) error {
+	now := time.Now()
+	if !x.call.Expires.IsZero() && !now.Before(x.call.Expires) {
+		return call.NewProblem(call.ProblemDeadline, call.RanNo, "the call arrived after its deadline", nil)
+	}
+	d := s.keys.Begin(now, key, x.fingerprint())
+	s.cfg.Decisions.Line("key-decided", "route", x.call.Route.Name, "action", d.Action.String())
+	x.w.Header().Set(call.HeaderOwner, strconv.FormatUint(key.Boot, 10))
+	x.final = true
+	switch d.Action {
+	case once.ActionRun:
+		return s.runOwned(x, d.Execution)
+	case once.ActionJoin:
+		return s.joinOwned(x, d.Execution)
+	case once.ActionReplay:
+		return s.replay(x, d.Execution.Result())
+	case once.ActionFull:
+		return call.NewProblem(call.ProblemOverloaded, call.RanNo, "the table of idempotency keys is full", nil)
+	case once.ActionMismatch:
+		return call.NewProblem(call.ProblemKeyReused, call.RanNo, "", nil)
+	default:
+		return call.NewProblem(call.ProblemOutcomeUnknown, call.RanUnknown, "the idempotency key has expired", nil)
+	}
+}
+
+// runOwned runs the only execution of a key. It does not end when the caller
+// leaves, so that a repeated call gets the answer instead of an unknown outcome.
+func (s *Server) runOwned(x *exchange, e *once.Execution) error {
+	result := once.Result{State: once.StateUnknown}
+	defer func() {
+		s.keys.Finish(time.Now(), e, result)
+		s.cfg.Decisions.Line("key-finished", "route", x.call.Route.Name, "state", result.State.String(), "kept", result.Answer != nil)
+	}()
+	rec := &answerRecorder{ResponseWriter: x.w}
+	x.w, x.base = rec, context.WithoutCancel(x.base)
+	err := s.serveLocal(x)
+	var p *call.Problem
+	switch {
+	case err == nil:
+		result = once.Result{State: once.StateDone, Answer: rec.answer()}
+	case errors.As(err, &p) && p.Ran == call.RanNo:
+		result.State = once.StateRefused
+	}
+	return err
+}
+
+// joinOwned waits for the running execution of the same key.
+func (s *Server) joinOwned(x *exchange, e *once.Execution) error {
+	ctx, cancel := context.WithDeadline(x.base, x.call.Deadline)
+	defer cancel()
+	select {
+	case <-e.Done():
+		return s.replay(x, e.Result())
+	case <-ctx.Done():
+		return call.NewProblem(call.ProblemDeadline, call.RanUnknown, "the call still runs", ctx.Err())
+	}
+}
+
+// replay answers with the result of the first call.
+func (s *Server) replay(x *exchange, r once.Result) error {
+	switch {
+	case r.State == once.StateRefused:
+		return call.NewProblem(call.ProblemKeyRefused, call.RanNo, "", nil)
+	case r.State != once.StateDone:
+		return call.NewProblem(call.ProblemOutcomeUnknown, call.RanUnknown, "the first call's outcome is unknown", nil)
+	case r.Answer == nil:
+		return call.NewProblem(call.ProblemAnswerNotKept, call.RanYes, "", nil)
+	}
+	h := x.w.Header()
+	copyHeader(h, r.Answer.Header)
+	h.Set(call.HeaderVersion, x.snap.ID.String())
+	h.Set(call.HeaderRan, string(call.RanYes))
+	x.started = true
+	x.w.WriteHeader(r.Answer.Status)
+	if _, err := x.w.Write(r.Answer.Body); err != nil {
+		return call.NewProblem(call.ProblemCancelled, call.RanYes, "the caller left", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dataplane/prevent_replay.go
@@ -0,0 +1,28 @@
+package dataplane
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/filbertpier/filbertpier/internal/call"
+)
+
+// preventReplay keeps http.Transport from sending a request twice. It resends
+// one without a body on another connection if the method is safe or if the
+// header holds an idempotency key in its canonical spelling. Header names are
+// case-insensitive on the wire, so the receiver sees no difference.
+func preventReplay(out *http.Request) {
+	for _, name := range []string{call.HeaderIdempotencyKey, "X-Idempotency-Key"} {
+		if values, ok := out.Header[name]; ok {
+			delete(out.Header, name)
+			out.Header[strings.ToLower(name)] = values
+		}
+	}
+	switch out.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		if out.Body == http.NoBody {
+			out.Body = io.NopCloser(strings.NewReader(""))
+		}
+	}
+}
--- a/internal/dataplane/round_trip.go
+++ b/internal/dataplane/round_trip.go
@@ -29,7 +29,7 @@
 // failure classifies an error of a round trip or of an answer's body.
 func failure(x *exchange, ctx context.Context, ran call.Ran, err error) *call.Problem {
 	switch {
-	case x.r.Context().Err() != nil && ctx.Err() != nil:
+	case x.base.Err() != nil && ctx.Err() != nil:
 		return call.NewProblem(call.ProblemCancelled, ran, "the caller left", err)
 	case ctx.Err() != nil:
 		return call.NewProblem(call.ProblemDeadline, ran, "while the call ran", err)
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/internal/routing"
 )
 
@@ -21,6 +22,7 @@
 	upstream *http.Transport
 	buffers  bufferPool
 	retrier  Retrier
+	keys     *once.Table
 }
 
 // NewServer returns a server for the upstream that cfg names.
@@ -37,6 +39,7 @@
 		upstream: newTransport(cfg.LocalIP, defaultConnections),
 		buffers:  newBufferPool(),
 		retrier:  attemptLimit{max: maxAttempts},
+		keys:     once.NewTable(cfg.Keys),
 	}
 }
 
@@ -66,50 +69,51 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	x, problem := s.open(start, w, r)
-	if problem == nil {
-		problem = s.serve(x)
+	x := &exchange{w: w, r: r, base: r.Context()}
+	if r.URL.Path == call.KeysPath {
+		s.finish(start, w, x, s.issueKey(start, x))
+		return
 	}
-	s.finish(start, w, r, x, problem)
+	err := s.open(start, x)
+	if err == nil {
+		err = s.serve(x)
+	}
+	s.finish(start, w, x, err)
 }
 
 func (s *Server) serve(x *exchange) error {
-	if target := x.r.Header.Get(call.HeaderTarget); target != "" {
-		return s.serveTargeted(x, target)
+	target := x.r.Header.Get(call.HeaderTarget)
+	if self := s.control.Self(); target != "" && target != self.VM {
+		return call.NewProblem(call.ProblemTargetMismatched, call.RanNo, "this is "+self.VM, nil)
+	}
+	switch {
+	case !x.call.Route.Idempotent:
+		return s.serveKeyed(x)
+	case target != "":
+		return s.serveLocal(x)
 	}
 	return s.serveEntry(x)
 }
 
 // open checks the node's state and reads the call.
-func (s *Server) open(now time.Time, w http.ResponseWriter, r *http.Request) (*exchange, error) {
+func (s *Server) open(now time.Time, x *exchange) error {
 	if !s.control.Ready(now) {
-		return nil, call.NewProblem(call.ProblemNotReady, call.RanNo, "", nil)
+		return call.NewProblem(call.ProblemNotReady, call.RanNo, "", nil)
 	}
-	required, err := call.ParseVersion(r.Header)
+	required, err := call.ParseVersion(x.r.Header)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	snap, err := s.snapshotFor(r.Context(), required)
-	if err != nil {
-		return nil, err
+	if x.snap, err = s.snapshotFor(x.r.Context(), required); err != nil {
+		return err
 	}
-	c, err := call.Parse(now, r, snap.Document)
+	c, err := call.Parse(now, x.r, x.snap.Document)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	x.call = c
 	c.Version = required
-	s.cfg.Invariants.Check(!snap.ID.Less(required), "served-version", "serving %s, required %s", snap.ID, required)
-	b, err := readBody(r)
-	if err != nil {
-		return nil, err
-	}
-	return &exchange{w: w, r: r, call: c, snap: snap, body: b}, nil
-}
-
-// serveTargeted runs a call that another node sent to this node's upstream.
-func (s *Server) serveTargeted(x *exchange, target string) error {
-	if self := s.control.Self(); target != self.VM {
-		return call.NewProblem(call.ProblemTargetMismatched, call.RanNo, "this is "+self.VM, nil)
-	}
-	return s.serveLocal(x)
+	s.cfg.Invariants.Check(!x.snap.ID.Less(required), "served-version", "serving %s, required %s", x.snap.ID, required)
+	x.body, err = readBody(x.r)
+	return err
 }
--- /dev/null
+++ b/internal/once/shard.go
@@ -0,0 +1,99 @@
+package once
+
+import (
+	"sync"
+	"time"
+)
+
+// shard holds the keys of one part of a table.
+type shard struct {
+	maxKeys  int
+	maxBytes int
+	// mu guards the fields below.
+	mu       sync.Mutex
+	keys     map[Key]*Execution
+	expiries expiryHeap
+	bytes    int
+	// latest is the greatest time seen. A clock that steps back must not make
+	// a key valid again that has been discarded.
+	latest int64
+	// refusedUpTo is the issue time of the newest key refused for lack of room.
+	// Keys issued until then that the shard does not hold are refused too, so
+	// that a refused key cannot run later from a delayed copy of its call.
+	refusedUpTo int64
+}
+
+func newShard(maxKeys, maxBytes int) shard {
+	return shard{maxKeys: maxKeys, maxBytes: maxBytes, keys: map[Key]*Execution{}}
+}
+
+func (s *shard) begin(now time.Time, k Key, f Fingerprint) Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	if e, ok := s.keys[k]; ok {
+		return s.known(e, f)
+	}
+	switch {
+	case k.expiresMs() <= s.latest || k.IssuedMs > s.latest+maxClockSkew.Milliseconds():
+		return Decision{Action: ActionExpired}
+	case k.IssuedMs <= s.refusedUpTo:
+		return Decision{Action: ActionFull}
+	case len(s.keys) >= s.maxKeys:
+		s.refusedUpTo = k.IssuedMs
+		return Decision{Action: ActionFull}
+	}
+	e := &Execution{key: k, fingerprint: f, done: make(chan struct{})}
+	s.keys[k] = e
+	s.expiries.add(e)
+	return Decision{Action: ActionRun, Execution: e}
+}
+
+func (s *shard) known(e *Execution, f Fingerprint) Decision {
+	switch {
+	case e.fingerprint != f:
+		return Decision{Action: ActionMismatch}
+	case e.finished():
+		return Decision{Action: ActionReplay, Execution: e}
+	}
+	return Decision{Action: ActionJoin, Execution: e}
+}
+
+func (s *shard) finish(now time.Time, e *Execution, r Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	if r.Answer != nil {
+		size := len(r.Answer.Body)
+		_, held := s.keys[e.key]
+		if size > MaxAnswerBytes || s.bytes+size > s.maxBytes || !held {
+			r.Answer = nil
+		} else {
+			s.bytes += size
+		}
+	}
+	e.result = r
+	close(e.done)
+}
+
+// advance moves the shard's clock and discards expired keys. A running key is
+// discarded too: its validity is over, so no call can run or join it.
+func (s *shard) advance(now time.Time) {
+	s.latest = max(s.latest, now.UnixMilli())
+	for {
+		e, ok := s.expiries.takeExpired(s.latest)
+		if !ok {
+			return
+		}
+		delete(s.keys, e.key)
+		if e.finished() && e.result.Answer != nil {
+			s.bytes -= len(e.result.Answer.Body)
+		}
+	}
+}
+
+func (s *shard) len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.keys)
+}
