--- a/internal/call/problem.go
+++ b/internal/call/problem.go
@@ -47,6 +47,10 @@
 	_, _ = w.Write(body)
 }
 
+// statusClientClosed is the customary status for a call whose caller left; the
+// caller does not see it, logs and metrics do.
+const statusClientClosed = 499
+
 // retrySoon is the time after which an overloaded or joining node may have
 // recovered.
 const retrySoon = 500 * time.Millisecond
@@ -68,9 +72,12 @@
 	ProblemUpstreamFailed:   {http.StatusBadGateway, "the upstream failed", retrySoon},
 	ProblemOutcomeUnknown:   {http.StatusBadGateway, "the outcome is unknown", 0},
 	ProblemKeyRequired:      {http.StatusBadRequest, "an idempotency key issued by a node is required", 0},
+	ProblemKeyReused:        {http.StatusUnprocessableEntity, "the idempotency key belongs to another request", 0},
+	ProblemKeyRefused:       {http.StatusConflict, "the call was refused earlier and will not run under this idempotency key", 0},
 	ProblemQuarantined:      {http.StatusUnprocessableEntity, "the request crashed upstreams", 0},
 	ProblemLeaving:          {http.StatusServiceUnavailable, "the upstream is leaving", retrySoon},
 	ProblemDepthExceeded:    {http.StatusLoopDetected, "calls are nested too deep", 0},
 	ProblemAnswerNotKept:    {http.StatusGone, "the call ran and its answer is no longer held", 0},
+	ProblemCancelled:        {statusClientClosed, "the caller left", 0},
 	ProblemTargetMismatched: {http.StatusMisdirectedRequest, "the node does not serve the target", retrySoon},
 }
--- /dev/null
+++ b/internal/dataplane/attempt.go
@@ -0,0 +1,16 @@
+package dataplane
+
+import (
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/call"
+)
+
+// Attempt is a failed attempt to run a call, as a Retrier judges it.
+type Attempt struct {
+	Call *call.Call
+	// Policy is the route's retry policy, or nil.
+	Policy *config.RetryPolicy
+	// Number counts the attempts of the call, from 1.
+	Number  int
+	Problem *call.Problem
+}
--- /dev/null
+++ b/internal/dataplane/budget_retrier.go
@@ -0,0 +1,44 @@
+package dataplane
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/retry"
+)
+
+// budgetRetrier is a Retrier that applies the route's policy within the budget
+// of its service.
+type budgetRetrier struct {
+	budgets *retry.Budgets
+}
+
+func newBudgetRetrier() budgetRetrier { return budgetRetrier{budgets: retry.NewBudgets()} }
+
+// Record implements Retrier.
+func (b budgetRetrier) Record(now time.Time, c *call.Call, policy *config.RetryPolicy) {
+	b.budgets.Record(now, c.Route.Service, policy, c.Depth, c.WithinRetry)
+}
+
+// Again implements Retrier.
+func (b budgetRetrier) Again(now time.Time, a Attempt) retry.Decision {
+	if !otherUpstreamMayServe[a.Problem.Type] {
+		return retry.Decision{Reason: retry.ReasonMayHaveRun}
+	}
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	// The wait that a refusing node asks for concerns its own upstream; the
+	// next attempt goes to another.
+	return b.budgets.Decide(now, retry.Attempt{
+		Service: a.Call.Route.Service, Policy: a.Policy, Made: a.Number,
+		Ran: a.Problem.Ran, Idempotent: a.Call.Route.Idempotent, Replayable: true,
+		Depth: a.Call.Depth, WithinRetry: a.Call.WithinRetry, Deadline: a.Call.Deadline,
+	}, rng)
+}
+
+// otherUpstreamMayServe holds the problems that another upstream may not have.
+var otherUpstreamMayServe = map[call.ProblemType]bool{
+	call.ProblemNotReady: true, call.ProblemConfigBehind: true, call.ProblemOverloaded: true,
+	call.ProblemUpstreamFailed: true, call.ProblemLeaving: true, call.ProblemTargetMismatched: true,
+}
--- /dev/null
+++ b/internal/dataplane/entry.go
@@ -0,0 +1,107 @@
+package dataplane
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/routing"
+)
+
+// serveEntry sends a call to the nodes beside its upstreams, one after another,
+// until one answers or no other attempt is allowed.
+func (s *Server) serveEntry(x *exchange) error {
+	tried := map[string]bool{}
+	policy, _ := x.snap.Document.RetryPolicy(x.call.Route.Retry)
+	s.retrier.Record(time.Now(), x.call, policy)
+	var failed *call.Problem
+	for n := 1; ; n++ {
+		d, err := s.pick(x, tried)
+		if err != nil {
+			if failed != nil {
+				return failed
+			}
+			return err
+		}
+		err = s.attempt(x, d)
+		var p *call.Problem
+		if !errors.As(err, &p) {
+			return err
+		}
+		failed = afterAttempts(failed, p)
+		tried[d.Member.VM] = true
+		if !s.again(x, Attempt{Call: x.call, Policy: policy, Number: n, Problem: p}, d.Member.VM) {
+			return failed
+		}
+	}
+}
+
+// again decides on another attempt after a failed one and waits until it is
+// due.
+func (s *Server) again(x *exchange, a Attempt, vm string) bool {
+	if x.started {
+		return false
+	}
+	d := s.retrier.Again(time.Now(), a)
+	s.cfg.Decisions.Line("call-retry-decided", "route", x.call.Route.Name, "rank", x.call.Rank.Name, "vm", vm, "retry", d.Retry,
+		"reason", d.Reason, "attempt", a.Number, "type", a.Problem.Type, "ran", a.Problem.Ran, "detail", a.Problem.Detail)
+	if !d.Retry || !x.body.rewind() {
+		return false
+	}
+	x.retrying = true
+	timer := time.NewTimer(d.Delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-x.base.Done():
+		return false
+	}
+}
+
+// afterAttempts returns the outcome of a call after its last attempt. A call of
+// which one attempt may have run was not certainly not run.
+func afterAttempts(earlier, last *call.Problem) *call.Problem {
+	if earlier == nil || earlier.Ran != call.RanUnknown || last.Ran != call.RanNo {
+		return last
+	}
+	p := *last
+	p.Ran = call.RanUnknown
+	return &p
+}
+
+func (s *Server) pick(x *exchange, tried map[string]bool) (routing.Decision, error) {
+	service, ok := x.snap.Document.Service(x.call.Route.Service)
+	s.cfg.Invariants.Check(ok, "route-service", "route %s points at unknown service %s", x.call.Route.Name, x.call.Route.Service)
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	now := time.Now()
+	d, err := s.picker.Pick(now, routing.Query{
+		View: s.control.Table().View(now), Self: s.control.Self(), Service: service.Selector, Exclude: tried,
+		Worth: x.call.Rank.Worth, Deadline: x.call.Deadline, Rand: rng,
+	})
+	if err != nil {
+		return d, call.NewProblem(call.ProblemNoUpstream, call.RanNo, err.Error(), err)
+	}
+	return d, nil
+}
+
+func (s *Server) attempt(x *exchange, d routing.Decision) error {
+	s.cfg.Decisions.Line("call-routed", "route", x.call.Route.Name, "rank", x.call.Rank.Name, "vm", d.Member.VM,
+		"scope", d.Scope, "reason", d.Reason, "candidates", d.Candidates, "version", x.snap.ID.Version)
+	start := time.Now()
+	s.picker.Start(start, d.Member)
+	x.load = nil
+	err := s.sendTo(x, d.Member)
+	now := time.Now()
+	s.picker.Finish(now, d.Member, routing.Result{Outcome: outcomeOf(err), Latency: now.Sub(start), Report: x.load})
+	return err
+}
+
+func (s *Server) sendTo(x *exchange, to member.Member) error {
+	if to.VM == s.control.Self().VM {
+		return s.serveLocal(x)
+	}
+	return s.forward(x, to)
+}
