Send refunds in the demonstration and compare keys with runs

Cause: the demonstration showed no non-idempotent call. While adding it, issuing a key failed with a nil rank: since routing weighs a call's worth, the choice of the owner needs the route's rank. Change: callers ask for a key, send the refund twice to different nodes; the stand-in upstream counts runs per key; the demonstration fails if a key ran twice or a refund that was answered did not run. Issuing a key sets the rank.

--- a/internal/dataplane/issue_key.go
+++ b/internal/dataplane/issue_key.go
@@ -34,7 +34,8 @@
 	if at < 0 {
 		return call.NewProblem(call.ProblemNoRoute, call.RanNo, "route "+name, nil)
 	}
-	x.call = &call.Call{Route: routes[at]}
+	rank, _ := x.snap.Document.Rank(routes[at].Rank)
+	x.call = &call.Call{Route: routes[at], Rank: rank}
 	d, err := s.pick(x, nil)
 	if err != nil {
 		return err
--- a/internal/standin/upstream/server.go
+++ b/internal/standin/upstream/server.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Headers that tell the stand-in what to do with a call.
@@ -20,10 +22,16 @@
 	HeaderVM = "X-Standin-Vm"
 )
 
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	keyShardCount        = 8
+)
+
 // Server is the stand-in. It is an http.Handler and safe for concurrent use.
 type Server struct {
 	cfg       Config
 	slots     chan struct{}
+	keys      [keyShardCount]keyShard
 	running   atomic.Int64
 	ran       atomic.Int64
 	maxRun    atomic.Int64
@@ -53,6 +61,9 @@
 	running := s.running.Add(1)
 	defer s.running.Add(-1)
 	s.note(running)
+	if key := r.Header.Get(headerIdempotencyKey); key != "" {
+		s.keys[xxhash.Sum64String(key)%keyShardCount].add(key)
+	}
 	if r.Header.Get(HeaderCrash) != "" && s.cfg.Crash != nil {
 		s.cfg.Crash()
 		panic(http.ErrAbortHandler)
@@ -72,7 +83,14 @@
 
 // Stats returns the counts so far.
 func (s *Server) Stats() Stats {
-	return Stats{Ran: s.ran.Load(), MaxRunning: s.maxRun.Load(), OverSlots: s.over.Load(), Cancelled: s.cancelled.Load()}
+	stats := Stats{
+		Ran: s.ran.Load(), MaxRunning: s.maxRun.Load(), OverSlots: s.over.Load(), Cancelled: s.cancelled.Load(),
+		KeyRuns: map[string]int64{},
+	}
+	for i := range s.keys {
+		s.keys[i].copyTo(stats.KeyRuns)
+	}
+	return stats
 }
 
 func (s *Server) note(running int64) {
--- a/tools/demo/callers.go
+++ b/tools/demo/callers.go
@@ -32,6 +32,8 @@
 	failed  atomic.Int64
 	wrong   atomic.Int64
 	retried atomic.Int64
+	unknown atomic.Int64
+	refunds refundLog
 }
 
 func startCallers(vms []fleet.VM) *callers {
@@ -69,11 +71,14 @@
 
 func (c *callers) call(n int, body string, seen snapshot.ID) snapshot.ID {
 	path := "/recall/status"
-	if n%4 == 0 {
+	switch n % 4 {
+	case 0:
 		path = "/certificates/bundle"
+	case 1:
+		return c.refund(n, body, seen)
 	}
 	for try := range maxEntryTries {
-		resp, err := c.send(c.vms[(n+try*5)%len(c.vms)], path, body, seen)
+		resp, err := c.send(http.MethodPut, c.entry(n, try)+path, body, "", seen)
 		if err != nil {
 			c.retried.Add(1)
 			continue
@@ -84,11 +89,17 @@
 	return seen
 }
 
-func (c *callers) send(v fleet.VM, path, body string, seen snapshot.ID) (*http.Response, error) {
-	req, err := http.NewRequest(http.MethodPut, v.CallURL()+path, strings.NewReader(body))
+// entry returns the base URL of the node that a try of a call goes to.
+func (c *callers) entry(n, try int) string { return c.vms[(n+try*5)%len(c.vms)].CallURL() }
+
+func (c *callers) send(method, url, body, key string, seen snapshot.ID) (*http.Response, error) {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
+	if key != "" {
+		req.Header.Set(call.HeaderIdempotencyKey, key)
+	}
 	if !seen.IsZero() {
 		req.Header.Set(call.HeaderVersion, seen.String())
 	}
--- a/tools/demo/document.go
+++ b/tools/demo/document.go
@@ -31,6 +31,12 @@
   "services": [{"name": "certificates", "selector": "certificates", "slots": 6, "connections": 110}],
   "routes": [{"name": "bundles", "pathPrefix": "/certificates", "service": "certificates", "rank": "bulk",
     "idempotent": true, "timeoutMs": 10000, "retry": "standard"}],
+}`)},
+		{Name: "refunds", Owner: "refunds-team", Raw: []byte(`{
+  "section": "refunds", "owner": "refunds-team",
+  "services": [{"name": "refunds", "selector": "refunds", "slots": 6, "connections": 110}],
+  "routes": [{"name": "refund", "pathPrefix": "/refunds", "method": "POST", "service": "refunds", "rank": "normal",
+    "idempotent": false, "timeoutMs": 3000, "retry": "standard"}],
 }`)},
 	}
 }
--- a/tools/demo/run.go
+++ b/tools/demo/run.go
@@ -50,7 +50,7 @@
 			{Name: "lau-east", Zones: []string{"le-a", "le-b"}},
 		},
 		PlatformRegion: "viti-levu",
-		Services:       []string{"recall", "certificates"},
+		Services:       []string{"recall", "certificates", "refunds"},
 		Rounds:         1,
 		Slots:          6,
 		Work:           time.Millisecond,
@@ -78,7 +78,7 @@
 	s := &summary{nodes: len(f.VMs)}
 	s.measure(f, f.VMs, 2, published)
 
-	victim, leaver := f.VMs[len(f.VMs)-1], f.VMs[len(f.VMs)-3]
+	victim, leaver := f.VMs[len(f.VMs)-1], f.VMs[len(f.VMs)-4]
 	fmt.Printf("killing node %s with its upstream, stopping node %s\n", victim.ID, leaver.ID)
 	f.Nodes[victim.ID].Kill()
 	f.Upstreams[victim.ID].Kill()
@@ -93,7 +93,10 @@
 	c.finish()
 	left := slices.DeleteFunc(slices.Clone(f.VMs), func(v fleet.VM) bool { return v.ID == victim.ID || v.ID == leaver.ID })
 	s.measure(f, left, lastVersion, published)
-	s.calls, s.failed, s.wrong, s.retried = c.calls.Load(), c.failed.Load(), c.wrong.Load(), c.retried.Load()
+	s.add(c)
+	if err := s.countRefunds(f, c, left); err != nil {
+		return nil, err
+	}
 	return s, s.scrape(left)
 }
 
