Add fpctl and widen the administration API

Operators had no tool: only tests and the demonstration could sign a version, and the administration API showed neither the version in force nor the faults of refused versions. fpctl wraps internal/ctl: keygen, check, diff, split, assemble, accept, verify and publish-files for documents; status, versions, behind, upstreams and log-level for nodes. Reading members for the admin addresses of nodes was ruled out: members do not carry them. The administration listener now bounds sizes, times and connections.

--- /dev/null
+++ b/cmd/fpctl/lead_commands.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/filbertpier/filbertpier/config/manifest"
+	"github.com/filbertpier/filbertpier/internal/ctl"
+	"github.com/filbertpier/filbertpier/internal/ctl/lead"
+	"github.com/filbertpier/filbertpier/internal/ctl/sections"
+)
+
+const previousHelp = "Envelope that was published last."
+
+func (a *app) addLeadCommands() {
+	a.addKeygen()
+	a.addAccept()
+	a.addVerify()
+	a.addPublishFiles()
+}
+
+func (a *app) addKeygen() {
+	cmd := a.command("keygen", "Make a lead's key pair. The private key file has mode 0600 and is never printed.")
+	role := cmd.Flag("lead", "Role of the lead: product or operations.").Required().Enum(string(manifest.LeadProduct), string(manifest.LeadOperations))
+	base := cmd.Flag("out", "Path of the files without .key and .pub.").Required().String()
+	a.on(cmd, func(context.Context) (ctl.Result, error) {
+		return outcome(lead.Generate(manifest.Lead(*role), *base))
+	})
+}
+
+func (a *app) addAccept() {
+	var req lead.AcceptanceFiles
+	cmd := a.command("accept", "Sign a version as a lead.")
+	cmd.Arg("path", pathsHelp).Required().StringsVar(&req.Paths)
+	cmd.Flag("key", "Private key file of the lead.").Required().StringVar(&req.Key)
+	cmd.Flag("number", "Version number; without it, one more than --previous.").Uint64Var(&req.Version)
+	cmd.Flag("previous", previousHelp).StringVar(&req.Previous)
+	cmd.Flag("envelope", "Envelope that the other lead signed.").StringVar(&req.Envelope)
+	cmd.Flag("out", "Envelope to write.").Required().StringVar(&req.Out)
+	a.on(cmd, func(context.Context) (ctl.Result, error) { return outcome(req.Accept()) })
+}
+
+func publicKeyFlags(cmd *kingpin.CmdClause) *lead.PublicKeys {
+	keys := &lead.PublicKeys{}
+	cmd.Flag("product", "Public key file of the product lead; may be repeated.").Required().StringsVar(&keys.Product)
+	cmd.Flag("operations", "Public key file of the operations lead; may be repeated.").Required().StringsVar(&keys.Operations)
+	return keys
+}
+
+func (a *app) addVerify() {
+	cmd := a.command("verify", "Check an envelope as nodes do; with paths also that the sections are the signed ones.")
+	env := cmd.Flag("envelope", "Envelope to verify.").Required().String()
+	keys := publicKeyFlags(cmd)
+	paths := cmd.Arg("path", pathsHelp).Strings()
+	a.on(cmd, func(context.Context) (ctl.Result, error) { return outcome(lead.VerifyFiles(*keys, *env, *paths)) })
+}
+
+func (a *app) addPublishFiles() {
+	cmd := a.command("publish-files", "Verify a version and write one file per value to publish.")
+	env := cmd.Flag("envelope", "Envelope that both leads signed.").Required().String()
+	previous := cmd.Flag("previous", previousHelp+" Leaves out the sections that it already has.").String()
+	dir := cmd.Flag("dir", "Folder to write to.").Required().String()
+	keys := publicKeyFlags(cmd)
+	paths := cmd.Arg("path", pathsHelp).Required().Strings()
+	a.on(cmd, func(context.Context) (ctl.Result, error) {
+		doc, err := sections.Load(*paths...)
+		if err != nil {
+			return nil, err
+		}
+		return outcome(lead.PublishFiles(*keys, *env, *previous, *dir, doc))
+	})
+}
--- a/config/document.go
+++ b/config/document.go
@@ -50,6 +50,16 @@
 	return p, ok
 }
 
+// RetryPolicies returns all retry policies sorted by name.
+func (d *Document) RetryPolicies() []*RetryPolicy {
+	out := make([]*RetryPolicy, 0, len(d.retries))
+	for _, p := range d.retries {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
 // MatchRoute returns the route with the longest matching path prefix; among
 // equal prefixes one that names the method goes before one that matches any.
 func (d *Document) MatchRoute(method, path string) (*Route, bool) {
--- a/config/manifest/manifest.go
+++ b/config/manifest/manifest.go
@@ -24,6 +24,15 @@
 	return m
 }
 
+// ByName returns the sections by name.
+func (m *Manifest) ByName() map[string]SectionRef {
+	out := make(map[string]SectionRef, len(m.Sections))
+	for _, ref := range m.Sections {
+		out[ref.Name] = ref
+	}
+	return out
+}
+
 // Encode returns the bytes that are signed and published.
 func (m *Manifest) Encode() ([]byte, error) { return json.Marshal(m) }
 
--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,48 @@
+package admin
+
+import (
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/net/netutil"
+)
+
+const (
+	// readTimeout bounds a request; none has a body that matters.
+	readTimeout = 5 * time.Second
+	// writeTimeout bounds an answer; the largest are metrics and members.
+	writeTimeout = 15 * time.Second
+	idleTimeout  = 60 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 8 << 10
+	// maxBodyBytes bounds the body of a request.
+	maxBodyBytes = 4 << 10
+	// maxConnections bounds the connections to the listener, so that a scraper
+	// that leaks them cannot use up the node's memory.
+	maxConnections = 64
+)
+
+// NewServer returns a server for the API with bounded sizes and times. Errors
+// of connections go to the log at debug level.
+func NewServer(h http.Handler, logger hclog.Logger) *http.Server {
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(h, maxBodyBytes),
+		ReadTimeout:       readTimeout,
+		ReadHeaderTimeout: readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          errorLog(logger),
+	}
+}
+
+func errorLog(logger hclog.Logger) *log.Logger {
+	return logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+}
+
+// Bound returns a listener that holds at most maxConnections connections open;
+// further ones wait in the operating system's queue.
+func Bound(l net.Listener) net.Listener { return netutil.LimitListener(l, maxConnections) }
--- /dev/null
+++ b/internal/admin/version.go
@@ -0,0 +1,24 @@
+package admin
+
+import (
+	"github.com/filbertpier/filbertpier/config/manifest"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// Version is the version in force.
+type Version struct {
+	ID       snapshot.ID           `json:"id"`
+	Version  uint64                `json:"version"`
+	Digest   manifest.Digest       `json:"digest"`
+	Sections []manifest.SectionRef `json:"sections"`
+	Signers  []Signer              `json:"signers"`
+}
+
+// VersionOf returns what the API shows of a snapshot.
+func VersionOf(s *snapshot.Snapshot) Version {
+	v := Version{ID: s.ID, Version: s.ID.Version, Digest: s.ID.Digest, Sections: s.Manifest.Sections, Signers: []Signer{}}
+	for _, sig := range s.Envelope.Signatures {
+		v.Signers = append(v.Signers, Signer{Lead: sig.Lead, KeyID: sig.KeyID})
+	}
+	return v
+}
--- /dev/null
+++ b/internal/admin/zone_count.go
@@ -0,0 +1,8 @@
+package admin
+
+// ZoneCount counts the members of an availability zone by status.
+type ZoneCount struct {
+	Region   string         `json:"region"`
+	Zone     string         `json:"zone"`
+	ByStatus map[string]int `json:"byStatus"`
+}
--- /dev/null
+++ b/internal/ctl/check_result.go
@@ -0,0 +1,46 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/filbertpier/filbertpier/config"
+)
+
+// CheckResult is the outcome of checking a document.
+type CheckResult struct {
+	Valid    bool           `json:"valid"`
+	Sections int            `json:"sections"`
+	Bytes    int            `json:"bytes"`
+	Faults   []config.Fault `json:"faults"`
+	Omitted  int            `json:"omittedFaults"`
+	Warnings []config.Fault `json:"warnings"`
+}
+
+// Check checks a document as a whole. The error is an
+// *config.InvalidDocumentError if there are faults; the result is complete in
+// either case.
+func Check(sections []config.Section) (*CheckResult, error) {
+	report := config.Check(sections)
+	r := &CheckResult{Valid: report.Document != nil, Sections: len(sections), Faults: report.Faults, Omitted: report.OmittedFaults, Warnings: report.Warnings}
+	for _, s := range sections {
+		r.Bytes += len(s.Raw)
+	}
+	return r, report.Err()
+}
+
+// Text implements Result.
+func (r *CheckResult) Text(w io.Writer) error {
+	for _, f := range r.Faults {
+		if _, err := fmt.Fprintln(w, "fault  ", f); err != nil {
+			return err
+		}
+	}
+	for _, f := range r.Warnings {
+		if _, err := fmt.Fprintln(w, "warning", f); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "%d sections, %d bytes, %d faults, %d warnings\n", r.Sections, r.Bytes, len(r.Faults)+r.Omitted, len(r.Warnings))
+	return err
+}
--- /dev/null
+++ b/internal/ctl/compare/doc.go
@@ -0,0 +1,2 @@
+// Package compare tells how two versions of a document differ.
+package compare
--- /dev/null
+++ b/internal/ctl/compare/named.go
@@ -0,0 +1,56 @@
+package compare
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// index maps items by name.
+func index[T any](items []*T, name func(*T) string) map[string]T {
+	out := make(map[string]T, len(items))
+	for _, item := range items {
+		out[name(item)] = *item
+	}
+	return out
+}
+
+// named appends the differences between two sets of structs, by name.
+func named[T comparable](out []Change, kind string, old, next map[string]T) []Change {
+	names := map[string]bool{}
+	for name := range old {
+		names[name] = true
+	}
+	for name := range next {
+		names[name] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		a, wasThere := old[name]
+		b, isThere := next[name]
+		switch {
+		case !wasThere:
+			out = append(out, Change{Kind: kind, Name: name, Action: ActionAdded})
+		case !isThere:
+			out = append(out, Change{Kind: kind, Name: name, Action: ActionRemoved})
+		case a != b:
+			out = append(out, Change{Kind: kind, Name: name, Action: ActionChanged, Fields: changedFields(a, b)})
+		}
+	}
+	return out
+}
+
+// changedFields compares two structs of one type by their JSON names.
+func changedFields(a, b any) []string {
+	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
+	var out []string
+	for i := range va.NumField() {
+		x, y := va.Field(i).Interface(), vb.Field(i).Interface()
+		if x != y {
+			name, _, _ := strings.Cut(va.Type().Field(i).Tag.Get("json"), ",")
+			out = append(out, fmt.Sprintf("%s: %v -> %v", name, x, y))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ctl/files/doc.go
@@ -0,0 +1,2 @@
+// Package files reads and writes the files of fpctl, bounded and whole.
+package files
--- /dev/null
+++ b/internal/ctl/fleet/upstream_list.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+
+	"github.com/filbertpier/filbertpier/internal/admin"
+)
+
+// UpstreamList is the load and the limits of upstreams.
+type UpstreamList struct {
+	Upstreams []Upstream `json:"upstreams"`
+}
+
+// Upstreams asks all nodes for the load of their upstream. The error is an
+// *Error.
+func (c *Client) Upstreams(ctx context.Context) (*UpstreamList, error) {
+	a := ask[admin.Limits](ctx, c, http.MethodGet, "/v1/limits")
+	r := &UpstreamList{Upstreams: []Upstream{}}
+	for i, l := range a.values {
+		if a.ok[i] {
+			r.Upstreams = append(r.Upstreams, Upstream{Node: c.nodes[i], Limits: l})
+		}
+	}
+	return r, a.err()
+}
+
+// Text implements ctl.Result.
+func (r *UpstreamList) Text(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "VM\tSERVICE\tSLOTS\tCONNECTIONS\tRUNNING\tWAITING")
+	for _, u := range r.Upstreams {
+		if len(u.Limits.Services) == 0 {
+			_, _ = fmt.Fprintf(t, "%s\tnone\t-\t-\t%d\t%d\n", u.Limits.VM, u.Limits.Running, u.Limits.Waiting)
+		}
+		for _, s := range u.Limits.Services {
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\n", u.Limits.VM, s.Service, s.Slots, s.Connections, u.Limits.Running, u.Limits.Waiting)
+		}
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/ctl/lead/accepted.go
@@ -0,0 +1,45 @@
+package lead
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/config/manifest"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// Accepted is the outcome of an acceptance.
+type Accepted struct {
+	ID       snapshot.ID        `json:"id"`
+	Signed   []manifest.Lead    `json:"signed"`
+	Missing  []manifest.Lead    `json:"missing"`
+	Warnings []config.Fault     `json:"warnings"`
+	Envelope *manifest.Envelope `json:"-"`
+}
+
+func (r *Accepted) countLeads() {
+	signed := map[manifest.Lead]bool{}
+	for _, s := range r.Envelope.Signatures {
+		signed[s.Lead] = true
+	}
+	r.Signed, r.Missing = []manifest.Lead{}, []manifest.Lead{}
+	for _, lead := range manifest.Leads() {
+		if signed[lead] {
+			r.Signed = append(r.Signed, lead)
+		} else {
+			r.Missing = append(r.Missing, lead)
+		}
+	}
+}
+
+// Text implements Result.
+func (r *Accepted) Text(w io.Writer) error {
+	for _, f := range r.Warnings {
+		if _, err := fmt.Fprintln(w, "warning", f); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "version %s\nsigned by %v, missing %v\n", r.ID, r.Signed, r.Missing)
+	return err
+}
--- /dev/null
+++ b/internal/ctl/print.go
@@ -0,0 +1,46 @@
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/filbertpier/filbertpier/config"
+)
+
+// Print writes the outcome of an operation, the result to stdout and the error
+// to stderr, and returns the exit code.
+func Print(stdout, stderr io.Writer, asJSON bool, result Result, err error) ExitCode {
+	code := ExitCodeOf(err)
+	if result != nil {
+		write := result.Text
+		if asJSON {
+			write = func(w io.Writer) error { return writeJSON(w, result) }
+		}
+		if writeErr := write(stdout); writeErr != nil && code == ExitOK {
+			err, code = writeErr, ExitFailure
+		}
+	}
+	if err == nil {
+		return code
+	}
+	if asJSON {
+		_ = writeJSON(stderr, failureOf(err, code))
+		return code
+	}
+	text := err.Error()
+	var invalid *config.InvalidDocumentError
+	if result != nil && errors.As(err, &invalid) {
+		text, _, _ = strings.Cut(text, "\n")
+	}
+	_, _ = fmt.Fprintln(stderr, "fpctl:", text)
+	return code
+}
+
+func writeJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,7 +92,7 @@
 	if n.calls, err = serve(n.settings.Listen.Calls, n.server); err != nil {
 		return err
 	}
-	if n.admin, err = serve(n.settings.Listen.Admin, admin.NewHandler(n, n.metrics.Registry)); err != nil {
+	if n.admin, err = n.serveAdmin(); err != nil {
 		_ = n.calls.Close()
 		return err
 	}
--- a/internal/strictjson/source.go
+++ b/internal/strictjson/source.go
@@ -1,6 +1,7 @@
 package strictjson
 
 import (
+	"bytes"
 	"reflect"
 	"sort"
 
@@ -19,18 +20,26 @@
 // It returns a nil Source if the text cannot be parsed. Values with a problem
 // are left at zero, all others are stored, so that callers can check the rest.
 func Decode(raw []byte, into any) (*Source, []Problem) {
-	src := &Source{lineStarts: lineStarts(raw)}
+	tree, problem := Parse(raw)
+	if problem != nil {
+		return nil, []Problem{*problem}
+	}
+	src := &Source{tree: tree, lineStarts: lineStarts(raw)}
+	d := &decoder{src: src}
+	d.value(&tree, reflect.ValueOf(into).Elem(), "")
+	return src, d.problems
+}
+
+// Parse parses raw within the bound on nesting.
+func Parse(raw []byte) (hujson.Value, *Problem) {
 	if at := tooDeep(raw); at >= 0 {
-		return nil, []Problem{{Line: src.lineAt(at), Rule: RuleNesting, Detail: "values are nested too deeply"}}
+		return hujson.Value{}, &Problem{Line: 1 + bytes.Count(raw[:at], []byte("\n")), Rule: RuleNesting, Detail: "values are nested too deeply"}
 	}
 	tree, err := hujson.Parse(raw)
 	if err != nil {
-		return nil, []Problem{{Line: errorLine(err), Rule: RuleSyntax, Detail: err.Error()}}
+		return hujson.Value{}, &Problem{Line: errorLine(err), Rule: RuleSyntax, Detail: err.Error()}
 	}
-	src.tree = tree
-	d := &decoder{src: src}
-	d.value(&tree, reflect.ValueOf(into).Elem(), "")
-	return src, d.problems
+	return tree, nil
 }
 
 // Line returns the line of the value at a JSON pointer, or of its nearest
