Make member order deterministic and views cheaper

Change: one sorted slice per view with zones and regions as parts of it, ranks remembered per view, encodings of a version kept for its children, and a zstd window that fits the content (internal/spread/delta.go) instead of 8 MB.

--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -21,6 +21,7 @@
 	watches   *watches
 	transfers *transfers
 	refused   *refused
+	encoded   encoded
 	updates   *updateQueue
 	platform  platformState
 	join      joinState
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -76,7 +76,7 @@
 func (a *Agent) beatSuccessors(now time.Time, view *member.View, self member.Member, out *effects) {
 	limit := missedIntervals * a.cfg.HeartbeatInterval * 3 / 2
 	keep := map[string]bool{}
-	for _, m := range view.Successors(self.Zone, self.VM, watchedSuccessors) {
+	for _, m := range view.Successors(self, watchedSuccessors) {
 		keep[m.VM] = true
 		out.send(self, m, a.heartbeat(now, false))
 		if silent := a.watches.since(m.VM, now); silent > limit {
--- a/internal/control/pull.go
+++ b/internal/control/pull.go
@@ -23,7 +23,7 @@
 		out.send(self, from, &message.PullResponse{VM: self.VM, ID: m.Want, Missing: true})
 		return
 	}
-	resp, err := a.encodeVersion(cur, m.Have)
+	resp, err := a.encodedVersion(cur, m.Have)
 	if err != nil {
 		out.log(effect.EventSectionInvalid, "version", cur.ID.Version, "error", err.Error())
 		return
@@ -32,6 +32,23 @@
 	out.send(self, from, resp)
 }
 
+// encodedVersion returns a kept or a new encoding of a snapshot. A base that is
+// no longer held counts as none.
+func (a *Agent) encodedVersion(cur *snapshot.Snapshot, have snapshot.ID) (*message.PullResponse, error) {
+	if _, ok := a.store.Find(have); !ok {
+		have = snapshot.ID{}
+	}
+	if resp, ok := a.encoded.get(cur.ID, have); ok {
+		return resp, nil
+	}
+	resp, err := a.encodeVersion(cur, have)
+	if err != nil {
+		return nil, err
+	}
+	a.encoded.put(cur.ID, have, *resp)
+	return resp, nil
+}
+
 // encodeVersion returns a snapshot as a delta to an older one, or whole if that
 // is no longer held.
 func (a *Agent) encodeVersion(cur *snapshot.Snapshot, have snapshot.ID) (*message.PullResponse, error) {
--- a/internal/control/refused.go
+++ b/internal/control/refused.go
@@ -19,17 +19,17 @@
 func (r *refused) add(id snapshot.ID, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.byID) >= maxRefused {
-		for oldest := range r.byID {
-			if oldest.Version < id.Version {
-				delete(r.byID, oldest)
-				break
-			}
-		}
+	r.byID[id] = err
+	if len(r.byID) <= maxRefused {
+		return
 	}
-	if len(r.byID) < maxRefused {
-		r.byID[id] = err
+	oldest := id
+	for other := range r.byID {
+		if other.Less(oldest) {
+			oldest = other
+		}
 	}
+	delete(r.byID, oldest)
 }
 
 func (r *refused) has(id snapshot.ID) bool {
--- a/internal/control/update_queue.go
+++ b/internal/control/update_queue.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/filbertpier/filbertpier/internal/member"
@@ -34,6 +36,8 @@
 	return wasEmpty && len(q.pending) > 0
 }
 
+// take empties the queue. The records are in the order of their VM ids: the
+// first one selects the tree, which must not depend on a map's order.
 func (q *updateQueue) take() ([]member.Member, spread.Origin) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -41,6 +45,7 @@
 	for _, m := range q.pending {
 		out = append(out, m)
 	}
+	slices.SortFunc(out, func(a, b member.Member) int { return cmp.Compare(a.VM, b.VM) })
 	origin := q.origin
 	q.pending = map[string]member.Member{}
 	q.origin = spread.FromPeer
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -53,10 +53,10 @@
 // Get returns the record of a VM.
 func (t *Table) Get(vm string) (Member, bool) { return t.shards[ShardOf(vm)].get(vm) }
 
-// Shard returns the records of one shard.
+// Shard returns the records of one shard in the order of their VM ids.
 func (t *Table) Shard(i int) []Member { return t.shards[i].appendTo(nil) }
 
-// All returns all records in no order.
+// All returns all records. The order depends only on the VM ids.
 func (t *Table) All() []Member {
 	var out []Member
 	for i := range t.shards {
@@ -65,6 +65,15 @@
 	return out
 }
 
+// unordered returns all records in no particular order.
+func (t *Table) unordered() []Member {
+	var out []Member
+	for i := range t.shards {
+		out = t.shards[i].appendUnordered(out)
+	}
+	return out
+}
+
 // Digests returns one digest per shard; equal digests mean equal shards.
 func (t *Table) Digests() [ShardCount]uint64 {
 	var out [ShardCount]uint64
--- a/internal/member/table_shard.go
+++ b/internal/member/table_shard.go
@@ -1,6 +1,10 @@
 package member
 
-import "sync"
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
 
 // tableShard holds part of the members.
 type tableShard struct {
@@ -32,9 +36,19 @@
 	return m, ok
 }
 
+// appendTo appends the shard's records in the order of their VM ids, so that
+// decisions do not depend on the iteration order of a map.
 func (s *tableShard) appendTo(out []Member) []Member {
+	from := len(out)
+	out = s.appendUnordered(out)
+	slices.SortFunc(out[from:], func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
+func (s *tableShard) appendUnordered(out []Member) []Member {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
+	out = slices.Grow(out, len(s.byVM))
 	for _, m := range s.byVM {
 		out = append(out, m)
 	}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"sync"
 	"time"
 )
 
@@ -11,12 +12,17 @@
 type View struct {
 	generation uint64
 	builtAt    time.Time
-	all        []Member
-	byZone     map[string][]Member
-	byRegion   map[string][]Member
-	byService  map[string][]Member
-	zones      map[string][]string
-	regions    []string
+	// all is sorted by region, zone and ring position, so that each region and
+	// each zone is a part of it and needs no copy.
+	all      []Member
+	dead     []Member
+	byZone   map[string][]Member
+	byRegion map[string][]Member
+	zones    map[string][]string
+	regions  []string
+	// byService is built on first use: only nodes that route calls need it.
+	byService func() map[string][]Member
+	ranks     rankCache
 }
 
 func newView(records []Member, generation uint64, now time.Time) *View {
@@ -25,45 +31,73 @@
 		builtAt:    now,
 		byZone:     map[string][]Member{},
 		byRegion:   map[string][]Member{},
-		byService:  map[string][]Member{},
 		zones:      map[string][]string{},
 	}
-	for _, m := range records {
-		if m.Reachable() {
-			v.all = append(v.all, m)
+	v.all = sorted(records, Member.Reachable)
+	v.dead = sorted(records, func(m Member) bool { return !m.Reachable() })
+	eachRun(v.all, func(m *Member) string { return m.Region }, func(region string, run []Member) {
+		v.byRegion[region] = run
+		v.regions = append(v.regions, region)
+	})
+	eachRun(v.all, func(m *Member) string { return m.Zone }, func(zone string, run []Member) {
+		v.byZone[zone] = run
+		v.zones[run[0].Region] = append(v.zones[run[0].Region], zone)
+	})
+	v.byService = sync.OnceValue(v.groupByService)
+	return v
+}
+
+// sorted returns the selected records in the order of a view. It sorts
+// references: records are large to copy at each comparison.
+func sorted(records []Member, selected func(Member) bool) []Member {
+	places := make([]place, 0, len(records))
+	for i := range records {
+		if selected(records[i]) {
+			places = append(places, place{ring: records[i].RingHash(), m: &records[i]})
 		}
 	}
-	sort.Slice(v.all, func(i, j int) bool {
-		a, b := v.all[i].RingHash(), v.all[j].RingHash()
-		return a < b || a == b && v.all[i].VM < v.all[j].VM
-	})
-	for _, m := range v.all {
-		if len(v.byZone[m.Zone]) == 0 {
-			v.zones[m.Region] = append(v.zones[m.Region], m.Zone)
+	slices.SortFunc(places, place.compare)
+	out := make([]Member, len(places))
+	for i, p := range places {
+		out[i] = *p.m
+	}
+	return out
+}
+
+// eachRun calls f for each run of members with equal keys.
+func eachRun(members []Member, key func(*Member) string, f func(string, []Member)) {
+	for from := 0; from < len(members); {
+		k, to := key(&members[from]), from+1
+		for to < len(members) && key(&members[to]) == k {
+			to++
 		}
-		v.byZone[m.Zone] = append(v.byZone[m.Zone], m)
-		v.byRegion[m.Region] = append(v.byRegion[m.Region], m)
-		v.byService[m.Service] = append(v.byService[m.Service], m)
+		f(k, members[from:to:to])
+		from = to
 	}
-	for region := range v.zones {
-		slices.Sort(v.zones[region])
-		v.regions = append(v.regions, region)
+}
+
+func (v *View) groupByService() map[string][]Member {
+	out := map[string][]Member{}
+	for _, m := range v.all {
+		out[m.Service] = append(out[m.Service], m)
 	}
-	slices.Sort(v.regions)
-	return v
+	return out
 }
 
-// All returns the members in ring order.
+// All returns the members by region, zone and ring position.
 func (v *View) All() []Member { return v.all }
 
+// Dead returns the members that are remembered as dead, in the same order.
+func (v *View) Dead() []Member { return v.dead }
+
 // Zone returns the members of an availability zone in ring order.
 func (v *View) Zone(zone string) []Member { return v.byZone[zone] }
 
-// Region returns the members of a region in ring order.
+// Region returns the members of a region by zone and ring position.
 func (v *View) Region(region string) []Member { return v.byRegion[region] }
 
 // Service returns the members whose VM carries a service label.
-func (v *View) Service(label string) []Member { return v.byService[label] }
+func (v *View) Service(label string) []Member { return v.byService()[label] }
 
 // Zones returns the sorted availability zones of a region.
 func (v *View) Zones(region string) []string { return v.zones[region] }
@@ -71,14 +105,22 @@
 // Regions returns the sorted regions.
 func (v *View) Regions() []string { return v.regions }
 
-// Successors returns up to n members that follow a VM on its zone's ring.
-func (v *View) Successors(zone, vm string, n int) []Member {
-	ring := v.byZone[zone]
-	at := slices.IndexFunc(ring, func(m Member) bool { return m.VM == vm })
-	if at < 0 {
+// Rank returns the result of compute, which must depend only on the view and
+// the key, and computes it once per key: a rank in a region of 2,400 members
+// hashes each of them, and a node asks for the same ranks each second.
+func (v *View) Rank(key RankKey, compute func() int) int { return v.ranks.get(key, compute) }
+
+// Successors returns up to n members that follow a member on its zone's ring.
+func (v *View) Successors(of Member, n int) []Member {
+	ring := v.byZone[of.Zone]
+	own := place{ring: of.RingHash(), m: &of}
+	at := sort.Search(len(ring), func(i int) bool {
+		return place{ring: ring[i].RingHash(), m: &ring[i]}.compareRing(own) >= 0
+	})
+	if at == len(ring) || ring[at].VM != of.VM {
 		return nil
 	}
-	var out []Member
+	out := make([]Member, 0, n)
 	for i := 1; i < len(ring) && len(out) < n; i++ {
 		out = append(out, ring[(at+i)%len(ring)])
 	}
--- a/internal/member/view_cache.go
+++ b/internal/member/view_cache.go
@@ -27,7 +27,7 @@
 		return v
 	}
 	generation := t.generation.Load()
-	v := newView(t.All(), generation, now)
+	v := newView(t.unordered(), generation, now)
 	c.last.Store(v)
 	return v
 }
--- a/internal/reader/role.go
+++ b/internal/reader/role.go
@@ -18,6 +18,6 @@
 // IsReader reports whether self is one of its region's readers.
 func IsReader(view *member.View, self member.Member, now time.Time) bool {
 	seed := uint64(now.Unix()) / uint64(Period/time.Second)
-	rank := spread.Rank(view.Region(self.Region), self.VM, seed)
+	rank := spread.RegionRank(view, self, seed)
 	return rank >= 0 && rank < PerRegion
 }
--- a/internal/spread/delta.go
+++ b/internal/spread/delta.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"math/bits"
+
 	"github.com/klauspost/compress/zstd"
 
 	"github.com/filbertpier/filbertpier/config"
@@ -16,7 +18,8 @@
 // EncodeDelta compresses data, with base as dictionary if it is not empty. It
 // is safe for concurrent use.
 func EncodeDelta(base, data []byte) ([]byte, error) {
-	opts := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithLowerEncoderMem(true)}
+	opts := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithLowerEncoderMem(true),
+		zstd.WithWindowSize(windowFor(len(base) + len(data)))}
 	if len(base) > 0 {
 		opts = append(opts, zstd.WithEncoderDictRaw(dictID, base))
 	}
@@ -28,6 +31,13 @@
 	return enc.EncodeAll(data, nil), nil
 }
 
+// windowFor returns the smallest window that reaches all content. The encoder
+// allocates and clears its window, which is 8 MB by default.
+func windowFor(n int) int {
+	n = min(max(n, zstd.MinWindowSize), maxDecoded)
+	return 1 << bits.Len(uint(n-1))
+}
+
 // DecodeDelta reverses EncodeDelta with the same base. It returns a
 // *DeltaError and never expands to more than a few megabytes.
 func DecodeDelta(base, frame []byte) ([]byte, error) {
--- /dev/null
+++ b/internal/spread/region_rank.go
@@ -0,0 +1,11 @@
+package spread
+
+import "github.com/filbertpier/filbertpier/internal/member"
+
+// RegionRank returns the position of self in the rendezvous order of its region
+// for a seed, or -1 if the view does not hold it. The view remembers it.
+func RegionRank(view *member.View, self member.Member, seed uint64) int {
+	return view.Rank(member.RankKey{VM: self.VM, Seed: seed}, func() int {
+		return Rank(view.Region(self.Region), self.VM, seed)
+	})
+}
--- a/internal/spread/targets.go
+++ b/internal/spread/targets.go
@@ -52,7 +52,7 @@
 // IsGateway reports whether self is one of the nodes of its region that other
 // regions tell about an item with the given seed, and its position among them.
 func IsGateway(view *member.View, self member.Member, seed uint64) (int, bool) {
-	rank := Rank(view.Region(self.Region), self.VM, seed)
+	rank := RegionRank(view, self, seed)
 	return rank, rank >= 0 && rank < Roots
 }
 
