--- a/internal/control/pull.go
+++ b/internal/control/pull.go
@@ -23,15 +23,19 @@
 		out.send(self, from, &message.PullResponse{VM: self.VM, ID: m.Want, Missing: true})
 		return
 	}
-	resp, ok := a.responses.get(cur.ID, m.Have)
+	have := m.Have
+	if _, held := a.store.Find(have); !held {
+		have = snapshot.ID{}
+	}
+	resp, ok := a.responses.get(cur.ID, have)
 	if !ok {
 		var err error
-		if resp, err = a.encodeVersion(cur, m.Have); err != nil {
+		if resp, err = a.encodeVersion(cur, have); err != nil {
 			out.log(effect.EventSectionInvalid, "version", cur.ID.Version, "error", err.Error())
 			return
 		}
 		resp.VM = self.VM
-		a.responses.put(m.Have, resp)
+		a.responses.put(have, resp)
 	}
 	out.send(self, from, resp)
 }
--- a/internal/node/admin_view.go
+++ b/internal/node/admin_view.go
@@ -69,7 +69,7 @@
 // Neighbours implements admin.Node.
 func (n *Node) Neighbours() []string {
 	out := []string{}
-	for _, m := range n.agent.Table().View(time.Now()).Successors(n.settings.Zone, n.settings.VM, neighbourCount) {
+	for _, m := range n.agent.Table().View(time.Now()).Successors(n.agent.Self(), neighbourCount) {
 		out = append(out, m.VM)
 	}
 	return out
