Test ranks, floors, early refusal and cancellation of the limiter

Cause: the new gate had no tests. Found by them: ready channels shared by all limiters in one sync.Pool cannot be used inside a synctest bubble and made TestLimiterCancel hang; each limiter now has its own pool. Change: virtual-time tests of the gate, synctest tests of the limiter, allocation test and benchmarks.

--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,229 @@
+package admission
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+)
+
+var (
+	epoch  = time.Unix(1_700_000_000, 0)
+	urgent = &config.Rank{Name: "urgent", Order: 0, TargetMs: 1000}
+	normal = &config.Rank{Name: "normal", Order: 1, TargetMs: 1000, Floor: 0.2}
+	least  = &config.Rank{Name: "least", Order: 2, TargetMs: 1000, Floor: 0.1}
+	ranks  = []*config.Rank{urgent, normal, least}
+)
+
+// bench drives a gate in virtual time with a fixed service time.
+type bench struct {
+	gate    *Gate
+	now     time.Time
+	running []*Ticket
+	refused map[*Ticket]error
+}
+
+func newBench(limits Limits) *bench {
+	b := &bench{now: epoch, refused: map[*Ticket]error{}}
+	b.gate = NewGate(limits, func(t *Ticket, err error) {
+		if err != nil {
+			b.refused[t] = err
+			return
+		}
+		b.running = append(b.running, t)
+	})
+	return b
+}
+
+func (b *bench) submit(rank *config.Rank, left time.Duration) (*Ticket, error) {
+	t := &Ticket{Rank: rank, Deadline: b.now.Add(left)}
+	granted, err := b.gate.Submit(b.now, t)
+	if granted {
+		b.running = append(b.running, t)
+	}
+	return t, err
+}
+
+// finish ends the call that has run longest.
+func (b *bench) finish() *Ticket {
+	t := b.running[0]
+	b.running = b.running[1:]
+	b.gate.Release(b.now, t)
+	return t
+}
+
+func (b *bench) warm(rank *config.Rank, service time.Duration) {
+	for range 64 {
+		_, _ = b.submit(rank, time.Hour)
+		b.now = b.now.Add(service)
+		b.finish()
+	}
+}
+
+// Guards against calls running in order of arrival instead of urgency, and
+// against ignoring deadlines within a rank.
+func TestGateOrder(t *testing.T) {
+	b := newBench(Limits{Slots: 1, Connections: 10, Ranks: []*config.Rank{urgent, {Name: "plain", Order: 5}}})
+	first, _ := b.submit(urgent, time.Second)
+	late, _ := b.submit(&config.Rank{Name: "plain", Order: 5}, time.Second)
+	second, _ := b.submit(urgent, 900*time.Millisecond)
+	soon, _ := b.submit(urgent, 500*time.Millisecond)
+	for i, want := range []*Ticket{first, soon, second, late} {
+		if got := b.finish(); got != want {
+			t.Fatalf("call %d: got rank %s deadline %s", i, got.Rank.Name, got.Deadline.Sub(epoch))
+		}
+	}
+}
+
+// Guards against a flood of one rank taking the floor of the others. Floors of
+// 0.2 and 0.1 of 6 slots are not whole slots.
+func TestGateKeepsFloors(t *testing.T) {
+	b := newBench(Limits{Slots: 6, Connections: 110, Ranks: ranks})
+	served := map[string]int{}
+	total := 0
+	for range 6000 {
+		for _, r := range ranks {
+			for b.gate.entry(r).queue.length.Load() < 20 {
+				if _, err := b.submit(r, time.Hour); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		b.now = b.now.Add(20 * time.Millisecond / 6)
+		served[b.finish().Rank.Name]++
+		total++
+	}
+	for _, r := range ranks[1:] {
+		if share := float64(served[r.Name]) / float64(total); share < 0.98*r.Floor || share > 1.1*r.Floor {
+			t.Errorf("rank %s got a share of %.3f, its floor is %.2f", r.Name, share, r.Floor)
+		}
+	}
+}
+
+// Guards against a floor that holds slots idle while its rank has no work.
+func TestGateUsesIdleFloors(t *testing.T) {
+	b := newBench(Limits{Slots: 6, Connections: 110, Ranks: ranks})
+	for range 6 {
+		if _, err := b.submit(least, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(b.running) != 6 {
+		t.Fatalf("%d calls run on 6 free slots", len(b.running))
+	}
+}
+
+// Guards against running calls whose deadline cannot be met.
+func TestGateRefusesLateWorkEarly(t *testing.T) {
+	b := newBench(Limits{Slots: 2, Connections: 100, Ranks: ranks})
+	b.warm(urgent, 100*time.Millisecond)
+	for range 6 {
+		if _, err := b.submit(urgent, 320*time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, err := b.submit(urgent, 340*time.Millisecond)
+	var late *LateError
+	if !errors.As(err, &late) || late.Service < 90*time.Millisecond || late.Wait < 200*time.Millisecond {
+		t.Fatalf("got %v, want a *LateError behind 4 waiting calls of 100 ms", err)
+	}
+	if _, err = b.submit(urgent, 370*time.Millisecond); err != nil {
+		t.Fatalf("a call that can be met was refused: %v", err)
+	}
+}
+
+// Guards against running a call that waited past the time it could use.
+func TestGateDropsExpiredWork(t *testing.T) {
+	b := newBench(Limits{Slots: 1, Connections: 10, Ranks: ranks})
+	_, _ = b.submit(urgent, time.Second)
+	waiting, err := b.submit(urgent, 50*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.now = b.now.Add(60 * time.Millisecond)
+	b.finish()
+	var late *LateError
+	if !errors.As(b.refused[waiting], &late) || len(b.running) != 0 {
+		t.Fatalf("outcome %v with %d running", b.refused[waiting], len(b.running))
+	}
+}
+
+// Guards against a slow period that refuses all later calls, because no call
+// runs that could correct the estimate.
+func TestGateRecoversFromSlowPeriod(t *testing.T) {
+	b := newBench(Limits{Slots: 1, Connections: 10, Ranks: ranks})
+	b.warm(urgent, 5*time.Second)
+	_, _ = b.submit(least, time.Minute)
+	if _, err := b.submit(urgent, time.Second); err == nil {
+		t.Fatal("a call of 5 s was accepted with 1 s left")
+	}
+	b.now = b.now.Add(10 * time.Second)
+	if _, err := b.submit(urgent, time.Second); err != nil {
+		t.Fatalf("still refused after 10 s without a sample: %v", err)
+	}
+}
+
+// Guards against a queue without bound, and against a flood of the least
+// urgent rank that fills the queue and keeps urgent calls out.
+func TestGateBoundsQueue(t *testing.T) {
+	b := newBench(Limits{Slots: 2, Connections: 12, Ranks: ranks})
+	var refused *OverloadedError
+	for range 50 {
+		_, err := b.submit(least, time.Second)
+		if err != nil && !errors.As(err, &refused) {
+			t.Fatal(err)
+		}
+	}
+	if r := b.gate.Report(); r.Running != 2 || r.Waiting != 10 || refused == nil {
+		t.Fatalf("report %+v, refused %v", r, refused)
+	}
+	if _, err := b.submit(urgent, time.Second); err != nil {
+		t.Fatalf("an urgent call was kept out: %v", err)
+	}
+	if r := b.gate.Report(); r.Waiting != 10 || len(b.refused) != 1 {
+		t.Fatalf("report %+v, %d calls evicted", r, len(b.refused))
+	}
+	for range 50 {
+		_, _ = b.submit(urgent, time.Second)
+	}
+	if n := b.gate.entry(least).queue.length.Load(); n != 1 {
+		t.Fatalf("%d calls of the least urgent rank wait, its floor is 1 of 10", n)
+	}
+}
+
+// Guards against lost or duplicated slots under random operations.
+func TestGateAccounting(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	b := newBench(Limits{Slots: 3, Connections: 20, Ranks: ranks})
+	var waiting []*Ticket
+	for range 20000 {
+		switch rng.IntN(4) {
+		case 0, 1:
+			ticket, err := b.submit(ranks[rng.IntN(3)], time.Duration(rng.IntN(2000))*time.Millisecond)
+			if err == nil {
+				waiting = append(waiting, ticket)
+			}
+		case 2:
+			if len(b.running) > 0 {
+				b.finish()
+			}
+		case 3:
+			if len(waiting) > 0 {
+				b.gate.Cancel(waiting[rng.IntN(len(waiting))])
+			}
+			b.gate.Configure(b.now, Limits{Slots: 2 + rng.IntN(3), Connections: 20, Ranks: ranks})
+		}
+		b.now = b.now.Add(time.Duration(rng.IntN(20)) * time.Millisecond)
+		if r := b.gate.Report(); r.Running != len(b.running) || r.Running > 4 || r.Waiting < 0 || r.Waiting > 18 {
+			t.Fatalf("report %+v with %d calls running", r, len(b.running))
+		}
+	}
+	for len(b.running) > 0 {
+		b.finish()
+	}
+	if r := b.gate.Report(); r.Running != 0 || r.Waiting != 0 {
+		t.Fatalf("after all calls ended: %+v", r)
+	}
+}
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -12,15 +12,14 @@
 type Limiter struct {
 	gate *Gate
 	now  func() time.Time
+	// ready reuses the channels that waiting calls block on. Each carries one
+	// outcome per use and is empty when it is put back.
+	ready sync.Pool
 	// mu guards limits.
 	mu     sync.Mutex
 	limits Limits
 }
 
-// readyChannels reuses the channels that waiting calls block on. Each carries
-// one outcome per use and is empty when it is put back.
-var readyChannels = sync.Pool{New: func() any { return make(chan error, 1) }}
-
 // NewLimiter returns a limiter for an upstream with a number of slots.
 func NewLimiter(slots int) *Limiter { return NewLimiterWith(Limits{Slots: slots}, time.Now) }
 
@@ -30,6 +29,7 @@
 		gate:   NewGate(limits, func(t *Ticket, err error) { t.ready <- err }),
 		now:    now,
 		limits: limits,
+		ready:  sync.Pool{New: func() any { return make(chan error, 1) }},
 	}
 }
 
@@ -63,12 +63,12 @@
 // has then not run. The release function must be called; repeating it has no
 // effect.
 func (l *Limiter) Acquire(ctx context.Context, c *call.Call) (release func(), err error) {
-	t := &Ticket{Rank: c.Rank, Deadline: c.Deadline, ready: readyChannels.Get().(chan error)}
+	t := &Ticket{Rank: c.Rank, Deadline: c.Deadline, ready: l.ready.Get().(chan error)}
 	granted, err := l.gate.Submit(l.now(), t)
 	if err == nil && !granted {
 		err = l.wait(ctx, t)
 	}
-	readyChannels.Put(t.ready)
+	l.ready.Put(t.ready)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/admission/limiter_test.go
@@ -0,0 +1,148 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/call"
+)
+
+// Guards against more calls on the upstream than it has slots when many
+// senders call at once while the slots change.
+func TestLimiterNeverExceedsSlots(t *testing.T) {
+	l := NewLimiter(0)
+	l.SetLimits(Limits{Slots: 6, Connections: 110, Ranks: ranks})
+	var running, served, peak atomic.Int64
+	var senders sync.WaitGroup
+	for i := range 100 {
+		senders.Go(func() {
+			for range 50 {
+				c := &call.Call{Rank: ranks[i%3], Deadline: time.Now().Add(20 * time.Second)}
+				release, err := l.Acquire(t.Context(), c)
+				if err != nil {
+					continue
+				}
+				if n := running.Add(1); n > 6 {
+					peak.Store(n)
+				}
+				l.SetSlots(5 + i%2)
+				served.Add(1)
+				running.Add(-1)
+				release()
+				release()
+			}
+		})
+	}
+	senders.Wait()
+	if r := l.Report(); peak.Load() != 0 || served.Load() == 0 || r.Running != 0 || r.Waiting != 0 {
+		t.Fatalf("peak %d, served %d, report %+v", peak.Load(), served.Load(), r)
+	}
+}
+
+// Guards against a canceled call that keeps its place or takes a slot.
+func TestLimiterCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLimiter(1)
+		c := &call.Call{Rank: &config.Rank{Name: "a"}}
+		release, err := l.Acquire(t.Context(), c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		result := make(chan error)
+		go func() {
+			_, err := l.Acquire(ctx, c)
+			result <- err
+		}()
+		synctest.Wait()
+		cancel()
+		var canceled *CanceledError
+		if err := <-result; !errors.As(err, &canceled) || !errors.Is(err, context.Canceled) {
+			t.Fatalf("got %v", err)
+		}
+		release()
+		if running, waiting := l.Load(); running != 0 || waiting != 0 {
+			t.Fatalf("%d running, %d waiting", running, waiting)
+		}
+	})
+}
+
+// Guards against a call that waits past its deadline, and against a drain
+// that drops calls which already wait.
+func TestLimiterDeadlineAndDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLimiter(1)
+		rank := &config.Rank{Name: "a"}
+		release, _ := l.Acquire(t.Context(), &call.Call{Rank: rank})
+		start := time.Now()
+		_, err := l.Acquire(t.Context(), &call.Call{Rank: rank, Deadline: start.Add(time.Second)})
+		var late *LateError
+		if !errors.As(err, &late) || time.Since(start) != time.Second {
+			t.Fatalf("got %v after %s", err, time.Since(start))
+		}
+		waited := make(chan error)
+		go func() {
+			next, err := l.Acquire(t.Context(), &call.Call{Rank: rank})
+			if err == nil {
+				next()
+			}
+			waited <- err
+		}()
+		synctest.Wait()
+		l.Drain()
+		var draining *DrainingError
+		if _, err := l.Acquire(t.Context(), &call.Call{Rank: rank}); !errors.As(err, &draining) {
+			t.Fatalf("got %v while draining", err)
+		}
+		release()
+		if err := <-waited; err != nil {
+			t.Fatalf("a waiting call was dropped: %v", err)
+		}
+	})
+}
+
+// The allocations of an uncontended decision are the ticket and the release
+// function.
+func TestLimiterAllocations(t *testing.T) {
+	l := NewLimiterWith(Limits{Slots: 6, Connections: 110, Ranks: ranks}, time.Now)
+	c := &call.Call{Rank: urgent}
+	if n := testing.AllocsPerRun(1000, func() { acquireOnce(t, l, c) }); n > 2 {
+		t.Fatalf("%g allocations for one decision, want at most 2", n)
+	}
+}
+
+func acquireOnce(t testing.TB, l *Limiter, c *call.Call) {
+	release, err := l.Acquire(context.Background(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	release()
+}
+
+func BenchmarkAcquireFree(b *testing.B) {
+	l := NewLimiterWith(Limits{Slots: 6, Connections: 110, Ranks: ranks}, time.Now)
+	c := &call.Call{Rank: urgent}
+	b.ReportAllocs()
+	for b.Loop() {
+		acquireOnce(b, l, c)
+	}
+}
+
+// BenchmarkGateQueued measures a decision behind 90 waiting calls.
+func BenchmarkGateQueued(b *testing.B) {
+	d := newBench(Limits{Slots: 6, Connections: 110, Ranks: ranks})
+	for range 96 {
+		_, _ = d.submit(least, 1000*time.Hour)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = d.submit(urgent, time.Hour)
+		d.finish()
+	}
+}
