--- a/internal/routing/belief.go
+++ b/internal/routing/belief.go
@@ -23,6 +23,7 @@
 	refusedAt time.Time
 
 	failures  int // consecutive failed or silent calls
+	failedAt  time.Time
 	silent    bool
 	outUntil  time.Time
 	report    LoadReport
@@ -44,6 +45,10 @@
 	refusedHalfLife = 500 * time.Millisecond
 	// busyShare is the refused share from which an upstream counts as busy.
 	busyShare = 0.5
+	// latencyHalfLife and failedHalfLife age own observations, so that an
+	// upstream that was slow or failed once is tried again.
+	latencyHalfLife = 5 * time.Second
+	failedHalfLife  = time.Second
 	// failureLimit is the number of consecutive failures that takes an
 	// upstream out. One failure may be the call's own doing.
 	failureLimit = 2
@@ -62,9 +67,11 @@
 
 // sync starts over when the VM runs another process.
 func (b *belief) sync(now time.Time, boot uint64) {
-	if b.firstSeen.IsZero() || boot > b.boot {
-		outstanding := b.outstanding
-		*b = belief{boot: boot, firstSeen: now, outstanding: outstanding, progressAt: now}
+	switch {
+	case b.boot == 0:
+		b.boot, b.firstSeen = boot, now
+	case boot > b.boot:
+		*b = belief{boot: boot, firstSeen: now, outstanding: b.outstanding, progressAt: now}
 	}
 	b.touched = now
 }
@@ -105,7 +112,7 @@
 	if b.refused == 0 {
 		return 0
 	}
-	return b.refused * math.Exp2(-now.Sub(b.refusedAt).Seconds()/refusedHalfLife.Seconds())
+	return b.refused * fade(now.Sub(b.refusedAt), refusedHalfLife)
 }
 
 func (b *belief) observeRefused(now time.Time, refused float64) {
@@ -130,6 +137,7 @@
 		return
 	}
 	b.failures++
+	b.failedAt = now
 	b.silent = b.silent || silent
 	if b.failures >= failureLimit || b.silent {
 		out := outFirst << min(b.failures-1, 5)
@@ -156,9 +164,9 @@
 // expected returns the latency to expect in seconds. Own latency, outstanding
 // and refused calls weigh in full; the report's part fades with its age.
 func (b *belief) expected(now time.Time, o Options) float64 {
-	base := b.latency
-	if base == 0 {
-		base = unknownLatency.Seconds()
+	base := unknownLatency.Seconds()
+	if b.latency > 0 {
+		base += (b.latency - base) * fade(now.Sub(b.latencyAt), latencyHalfLife)
 	}
 	slots := float64(max(b.report.Slots, 1))
 	queue := float64(b.outstanding) / slots
@@ -169,11 +177,17 @@
 		}
 	}
 	cost := base * (1 + queue)
-	cost *= 1 + refusedCost*b.refusedShare(now) + failedCost*float64(b.failures)
+	failed := float64(b.failures) * fade(now.Sub(b.failedAt), failedHalfLife)
+	cost *= 1 + refusedCost*b.refusedShare(now) + failedCost*failed
 	if !b.unhealthyAt.IsZero() && now.Sub(b.unhealthyAt) < unhealthyMemory {
 		cost *= unhealthyCost
 	}
-	return cost / b.ramp(now, o)
+	return cost
+}
+
+// fade returns what remains of an observation at an age.
+func fade(age, halfLife time.Duration) float64 {
+	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
 }
 
 const (
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -27,7 +27,6 @@
 // that shows no progress counts as silence.
 func (p *Picker) Finish(now time.Time, m member.Member, r Result) {
 	p.beliefs.shard(m.VM).with(m.VM, func(b *belief) {
-		b.touched = now
 		if r.Outcome == OutcomeCanceled && b.stalled(now, p.options) {
 			r.Outcome = OutcomeSilent
 		}
@@ -35,6 +34,7 @@
 		if m.Boot < b.boot {
 			return
 		}
+		b.sync(now, m.Boot)
 		b.finish(now, r)
 	})
 }
--- a/internal/routing/options.go
+++ b/internal/routing/options.go
@@ -20,14 +20,16 @@
 	RegionRoundTrip time.Duration
 }
 
-// The defaults. Regions are 30 ms apart one way; nodes report progress of
+// The defaults. With them a call of worth 1 goes to another region with up to
+// 1 MiB if its region is down and with up to 5 KiB if it is busy: a flood must
+// not move between regions. Regions are 30 ms apart one way; nodes report progress of
 // calls well within half a second; the stand-in's cold start lasts seconds.
 const (
 	defaultRamp            = 10 * time.Second
 	defaultSilence         = time.Second
 	defaultReportAge       = 3 * time.Second
 	defaultRegionPrice     = 1.0
-	defaultBusyFactor      = 50.0
+	defaultBusyFactor      = 200.0
 	defaultRegionRoundTrip = 60 * time.Millisecond
 )
 
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -20,14 +20,18 @@
 	}
 }
 
-// choose returns the better of the two by expected latency. A cold upstream
-// that wins is kept only with the probability of its ramp.
+// choose prefers the lower expected latency of the two. The preference is
+// random in proportion to the square of the expectations: always taking the
+// better one makes all senders move together and never corrects an old
+// observation of the other. A cold upstream that wins is kept only with the
+// probability of its ramp.
 func (p *pool) choose(rng *rand.Rand) assessment {
 	if p.count == 1 {
 		return p.pair[0]
 	}
 	first, second := p.pair[0], p.pair[1]
-	if second.expected < first.expected || second.expected == first.expected && rng.IntN(2) == 0 {
+	a, b := first.expected*first.expected, second.expected*second.expected
+	if rng.Float64()*(a+b) < a {
 		first, second = second, first
 	}
 	if first.ramp < second.ramp && rng.Float64() > first.ramp {
