--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -16,12 +16,13 @@
 }
 
 const (
-	// reserve is the number of tokens of a service without recent calls, so
-	// that a rarely used service can retry at all.
+	// reserve is what a service starts with and keeps when it is rarely used,
+	// so that a node that makes few calls to it can retry at all.
 	reserve = 1.0
-	// halfLife is how fast unspent tokens fade: "recent calls" are those of
-	// about the last 10 s.
-	halfLife = 10 * time.Second
+	// halfLife is how fast unspent tokens above the reserve fade. With 10 s,
+	// the tokens of a healthy minute allowed 1,000 retries of 1,000 calls in the first
+	// second of a failure.
+	halfLife = time.Second
 )
 
 func (b *budget) account(now time.Time, depth int) *float64 {
@@ -29,7 +30,7 @@
 	t := &b.tokens[depth]
 	if b.at[depth].IsZero() {
 		*t = reserve
-	} else if age := now.Sub(b.at[depth]); age > 0 {
+	} else if age := now.Sub(b.at[depth]); age > 0 && *t > reserve {
 		*t = reserve + (*t-reserve)*math.Exp2(-age.Seconds()/halfLife.Seconds())
 	}
 	b.at[depth] = now
