--- a/internal/standin/link/forwarder.go
+++ b/internal/standin/link/forwarder.go
@@ -48,6 +48,15 @@
 // it is set; they stay open.
 func (f *Forwarder) Silence(on bool) { f.silent.Store(on) }
 
+// Cut closes the open connections; new ones work.
+func (f *Forwarder) Cut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		_ = c.Close()
+	}
+}
+
 // Close ends the forwarder and its connections.
 func (f *Forwarder) Close() {
 	_ = f.listener.Close()
