Test that the HTTP transport does not resend keyed calls

Cause: http.Transport resends a request without a body that carries Idempotency-Key when a reused connection breaks. Change: a test of POST and GET on a non-idempotent route whose upstream aborts the second call. Before (trial with preventReplay left out): 3 runs instead of 2 for both methods. After: passes with -race.

--- a/internal/dataplane/keyed_test.go
+++ b/internal/dataplane/keyed_test.go
@@ -211,3 +211,26 @@
 	}
 	checkHistory(t, h)
 }
+
+// TestTransportDoesNotResend guards against http.Transport, which resends a
+// request with an idempotency key when a reused connection breaks.
+func TestTransportDoesNotResend(t *testing.T) {
+	var runs atomic.Int64
+	c := nodes.Start(t, spec("a"), func(string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if runs.Add(1) > 1 {
+				panic(http.ErrAbortHandler)
+			}
+		})
+	})
+	client := newClient(t)
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		runs.Store(0)
+		for i, want := range []call.Ran{call.RanYes, call.RanUnknown} {
+			r := send(client, c.VMs[1].URL(), method, "/refunds/1", "", call.HeaderIdempotencyKey, issueKey(t, client, c.VMs[0].URL()))
+			if r.ran != want || runs.Load() != int64(i+1) {
+				t.Errorf("%s call %d: %d runs, %+v", method, i, runs.Load(), r)
+			}
+		}
+	}
+}
