Let attempts that put no load on an upstream be retried without a token

Cause: with the budget wired in, TestDeadNodeAndUpstreamAreRetriedElsewhere failed: a quiet service has one token, and a call that met two dead upstreams in a row needed two. The decision log showed reason=budget after 'no connection'. Ruled out: a larger reserve; it would let 28 levels spend it in a real overload. Change: an attempt that ran nowhere and was not refused for overload is transparent: bounded by the policy's attempts and the deadline, not by the budget.

--- a/internal/dataplane/budget_retrier.go
+++ b/internal/dataplane/budget_retrier.go
@@ -32,7 +32,8 @@
 	// next attempt goes to another.
 	return b.budgets.Decide(now, retry.Attempt{
 		Service: a.Call.Route.Service, Policy: a.Policy, Made: a.Number,
-		Ran: a.Problem.Ran, Idempotent: a.Call.Route.Idempotent, Replayable: true,
+		Ran: a.Problem.Ran, Transparent: a.Problem.Ran == call.RanNo && a.Problem.Type != call.ProblemOverloaded,
+		Idempotent: a.Call.Route.Idempotent, Replayable: true,
 		Depth: a.Call.Depth, WithinRetry: a.Call.WithinRetry, Deadline: a.Call.Deadline,
 	}, rng)
 }
--- a/internal/retry/attempt.go
+++ b/internal/retry/attempt.go
@@ -16,6 +16,9 @@
 	Made int
 	// Ran tells whether the last attempt ran.
 	Ran call.Ran
+	// Transparent is set if the attempt put no load on any upstream, as without
+	// a connection. Trying again then amplifies nothing and takes no token.
+	Transparent bool
 	// Idempotent is set if the call may run more than once.
 	Idempotent bool
 	// Replayable is set if the request can be sent again in full.
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -53,7 +53,7 @@
 	if !a.Deadline.IsZero() && now.Add(delay+a.Expected).After(a.Deadline) {
 		return Decision{Reason: ReasonDeadline}
 	}
-	if !b.take(now, a.Service, a.Depth) {
+	if !a.Transparent && !b.take(now, a.Service, a.Depth) {
 		return Decision{Reason: ReasonBudget}
 	}
 	reason := ReasonIdempotent
@@ -84,10 +84,12 @@
 		return ReasonNoPolicy
 	case a.Made >= a.Policy.MaxAttempts:
 		return ReasonMaxAttempts
-	case a.WithinRetry:
-		return ReasonWithinRetry
 	case !a.Replayable:
 		return ReasonNotReplayed
+	case a.Transparent:
+		return ""
+	case a.WithinRetry:
+		return ReasonWithinRetry
 	case a.Ran == call.RanNo:
 		return ""
 	case !a.Idempotent:
--- a/internal/retry/budgets_test.go
+++ b/internal/retry/budgets_test.go
@@ -234,3 +234,25 @@
 		budgets.Decide(start, a, rng)
 	}
 }
+
+// Guards against calls that fail right after an upstream died because a quiet
+// service has no budget: an attempt without a connection takes no token, and is
+// still bounded by the policy's attempts.
+func TestTransparentRetriesTakeNoToken(t *testing.T) {
+	b := NewBudgets()
+	rng := rand.New(rand.NewPCG(1, 1))
+	a := failed(call.RanNo)
+	a.Transparent = true
+	for range 50 {
+		if d := b.Decide(start, a, rng); !d.Retry {
+			t.Fatalf("transparent retry refused: %s", d.Reason)
+		}
+	}
+	if d := b.Decide(start, failed(call.RanNo), rng); !d.Retry {
+		t.Errorf("the reserve was spent by transparent retries: %s", d.Reason)
+	}
+	a.Made = policy.MaxAttempts
+	if d := b.Decide(start, a, rng); d.Retry {
+		t.Error("transparent retries exceed the policy's attempts")
+	}
+}
