--- /dev/null
+++ b/internal/ctl/sections/sections_test.go
@@ -0,0 +1,47 @@
+package sections_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/ctl/refusal"
+	"github.com/filbertpier/filbertpier/internal/ctl/sections"
+)
+
+// Guards against a long document that changes a section's bytes, and with them
+// its digest, on the way back.
+func TestSplitUndoesAssemble(t *testing.T) {
+	space := rapid.SampledFrom([]string{"", " ", "\n", "\n\n", "// note\n", "/* , ] */", "\t// [\n// {\n"})
+	body := rapid.SampledFrom([]string{`{"section": "a", "owner": "o"}`, "{// x\n\"section\": \"b\",}", `{}`, "{\"owner\": \"]\"}"})
+	rapid.Check(t, func(t *rapid.T) {
+		var in []config.Section
+		for range rapid.IntRange(0, 5).Draw(t, "sections") {
+			tail := space.Draw(t, "after")
+			raw := space.Draw(t, "before") + body.Draw(t, "body") + tail
+			in = append(in, config.Section{Raw: []byte(raw)})
+		}
+		out, err := sections.Split("long", sections.Assemble(in))
+		if err != nil || len(out) != len(in) {
+			t.Fatalf("%d sections became %d: %v", len(in), len(out), err)
+		}
+		for i := range in {
+			if !bytes.Equal(in[i].Raw, out[i].Raw) {
+				t.Fatalf("section %d: %q became %q", i, in[i].Raw, out[i].Raw)
+			}
+		}
+	})
+}
+
+// Guards against section names that leave the folder or replace the owners.
+func TestWriteFolderRefusesOtherPaths(t *testing.T) {
+	for _, name := range []string{"../a", "a/b", "owners", ""} {
+		var refused *refusal.Error
+		if _, err := sections.WriteFolder(t.TempDir(), []config.Section{{Name: name}}, nil); !errors.As(err, &refused) {
+			t.Errorf("%q: got %v", name, err)
+		}
+	}
+}
