Record a timer before it can fire

The test of the call port met a data race: a timer with a delay near zero fired before timerSet.start had stored its pointer, so finish deleted the wrong entry and the timer stayed in the set. Locking around the read of the pointer was ruled out for a simpler key: timers are now numbered under the lock. Before, 'go test -race -run TestTimers ./internal/runtime' reported the race; after, it passes twice in a row together with ./internal/node.

--- a/internal/runtime/timer_set.go
+++ b/internal/runtime/timer_set.go
@@ -7,7 +7,7 @@
 	state *timerState
 }
 
-func newTimerSet() timerSet { return timerSet{state: &timerState{timers: map[*time.Timer]struct{}{}}} }
+func newTimerSet() timerSet { return timerSet{state: &timerState{timers: map[uint64]*time.Timer{}}} }
 
 // start calls f in a goroutine of its own after d, unless the set is stopped.
 func (t timerSet) start(d time.Duration, f func()) {
@@ -17,14 +17,14 @@
 	if s.stopped {
 		return
 	}
-	var timer *time.Timer
-	timer = time.AfterFunc(d, func() {
-		if s.finish(timer) {
+	s.lastID++
+	id := s.lastID
+	s.timers[id] = time.AfterFunc(d, func() {
+		if s.finish(id) {
 			defer s.running.Done()
 			f()
 		}
 	})
-	s.timers[timer] = struct{}{}
 }
 
 // stop ends all timers and waits for running functions.
@@ -32,7 +32,7 @@
 	s := t.state
 	s.mu.Lock()
 	s.stopped = true
-	for timer := range s.timers {
+	for _, timer := range s.timers {
 		timer.Stop()
 	}
 	clear(s.timers)
--- /dev/null
+++ b/internal/runtime/timer_set_test.go
@@ -0,0 +1,25 @@
+package runtime
+
+import (
+	"sync"
+	"testing"
+)
+
+// Guards against a timer that fires before start has recorded it: it raced with
+// start and stayed in the set for good.
+func TestTimersWithoutDelayLeaveTheSet(t *testing.T) {
+	set := newTimerSet()
+	var fired sync.WaitGroup
+	for range 1000 {
+		fired.Add(1)
+		set.start(0, fired.Done)
+	}
+	fired.Wait()
+	set.state.mu.Lock()
+	left := len(set.state.timers)
+	set.state.mu.Unlock()
+	if left != 0 {
+		t.Errorf("%d finished timers are still in the set", left)
+	}
+	set.stop()
+}
