Test that the call port serves no administration path

Nothing checked that a node keeps the administration API off its call port. The test starts a whole node against the platform stand-in and asks every path of the API on both ports: 2xx on one, 404 on the other.

--- /dev/null
+++ b/internal/node/ports_test.go
@@ -0,0 +1,106 @@
+package node_test
+
+import (
+	"encoding/base64"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/filbertpier/filbertpier/config/manifest"
+	"github.com/filbertpier/filbertpier/internal/admin"
+	"github.com/filbertpier/filbertpier/internal/node"
+	"github.com/filbertpier/filbertpier/internal/platform"
+	"github.com/filbertpier/filbertpier/internal/settings"
+	"github.com/filbertpier/filbertpier/internal/standin/platformserver"
+	"github.com/filbertpier/filbertpier/internal/testkit"
+)
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// startNode starts a node that serves version 1 of a document.
+func startNode(t *testing.T) *settings.Node {
+	t.Helper()
+	p, sections := testkit.NewPublisher(), testkit.Sections(1, "recall")
+	stand := platformserver.New()
+	for _, s := range sections {
+		stand.Put(platform.SectionKey(manifest.Sum(s.Raw)), s.Raw)
+	}
+	raw, err := p.Accepted(1, sections).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stand.Put(platform.ManifestKey, raw)
+	server := httptest.NewServer(stand)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	encode := func(lead manifest.Lead) []string {
+		return []string{base64.StdEncoding.EncodeToString(p.Keys()[lead][0])}
+	}
+	s := &settings.Node{
+		VM: "vm-1", Zone: "z1", Region: "r1", Service: "recall", Upstream: freeAddr(t),
+		Listen:        settings.Listen{Calls: freeAddr(t), Peers: freeAddr(t), Admin: freeAddr(t)},
+		Platform:      settings.Platform{URL: server.URL, Region: "r1"},
+		Keys:          settings.Keys{Product: encode(manifest.LeadProduct), Operations: encode(manifest.LeadOperations)},
+		JoinTimeoutMs: 200, DrainMs: 100,
+	}
+	n, err := node.Start(s, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Stop)
+	return s
+}
+
+func status(t *testing.T, method, url string) int {
+	t.Helper()
+	req, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := (&http.Client{Timeout: 5 * time.Second}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against callers who reach the administration API through the call
+// port, also while the node serves calls.
+func TestCallPortServesNoAdministration(t *testing.T) {
+	s := startNode(t)
+	ready := "http://" + s.Listen.Admin + "/readyz"
+	deadline := time.Now().Add(20 * time.Second)
+	for status(t, http.MethodGet, ready) != http.StatusNoContent {
+		if time.Now().After(deadline) {
+			t.Fatal("the node did not become ready")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, path := range admin.Paths() {
+		method := http.MethodGet
+		if path == "/v1/log-level/debug" {
+			method = http.MethodPut
+		}
+		if got := status(t, method, "http://"+s.Listen.Admin+path); got/100 != 2 {
+			t.Errorf("administration port, %s %s: status %d", method, path, got)
+		}
+		if got := status(t, method, "http://"+s.Listen.Calls+path); got != http.StatusNotFound {
+			t.Errorf("call port, %s %s: status %d, want 404", method, path, got)
+		}
+	}
+}
