Report every fault of settings with line and remedy; add presets and examples

Settings stopped at the first decoding mistake and accepted host names, equal listen addresses and one key for both leads. Presets fill the platform's region and the drain time of both deployments. Conclusion: one start shows everything that keeps a node from starting.

--- a/internal/settings/advertise.go
+++ b/internal/settings/advertise.go
@@ -5,8 +5,8 @@
 // Advertise holds the addresses that other nodes use, where they differ from
 // the listening ones.
 type Advertise struct {
-	Calls string `json:"calls" validate:"omitempty,hostname_port"`
-	Peers string `json:"peers" validate:"omitempty,hostname_port"`
+	Calls string `json:"calls" validate:"omitempty,ip_port"`
+	Peers string `json:"peers" validate:"omitempty,ip_port"`
 }
 
 // CallAddr returns the address that other nodes send calls to.
--- a/internal/settings/invalid_error.go
+++ b/internal/settings/invalid_error.go
@@ -1,22 +1,22 @@
 package settings
 
-// InvalidError reports settings that a node cannot start with.
+import (
+	"fmt"
+	"strings"
+)
+
+// InvalidError lists every fault of settings that a node cannot start with.
 type InvalidError struct {
-	// Field is the setting's path, if one is to blame.
-	Field string
-	Err   error
+	Faults []Fault
 }
 
+// Error returns one line per fault.
 func (e *InvalidError) Error() string {
-	text := "invalid settings"
-	if e.Field != "" {
-		text += ": " + e.Field
-	}
-	if e.Err != nil {
-		text += ": " + e.Err.Error()
+	var b strings.Builder
+	fmt.Fprintf(&b, "invalid settings: %d faults", len(e.Faults))
+	for _, f := range e.Faults {
+		b.WriteString("\n  ")
+		b.WriteString(f.String())
 	}
-	return text
+	return b.String()
 }
-
-// Unwrap returns the decoding or validation error, if any.
-func (e *InvalidError) Unwrap() error { return e.Err }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -1,8 +1,44 @@
 package settings
 
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+
+	"github.com/filbertpier/filbertpier/config/manifest"
+)
+
 // Keys holds ed25519 public keys in base64. A lead may have two keys while one
 // is being replaced.
 type Keys struct {
-	Product    []string `json:"product" validate:"required,min=1,dive,base64"`
-	Operations []string `json:"operations" validate:"required,min=1,dive,base64"`
+	Product    []string `json:"product" validate:"required,min=1"`
+	Operations []string `json:"operations" validate:"required,min=1"`
+}
+
+// Ring returns the keys in the form that verification needs. It returns an
+// *InvalidError.
+func (k Keys) Ring() (manifest.KeyRing, error) {
+	ring := manifest.KeyRing{}
+	for lead, texts := range map[manifest.Lead][]string{manifest.LeadProduct: k.Product, manifest.LeadOperations: k.Operations} {
+		for i, text := range texts {
+			key, err := decodeKey(text)
+			if err != nil {
+				return nil, &InvalidError{Faults: []Fault{{Field: fmt.Sprintf("/keys/%s/%d", lead, i), Rule: RuleKey, Detail: err.Error(), Remedy: remedies[RuleKey]}}}
+			}
+			ring[lead] = append(ring[lead], key)
+		}
+	}
+	return ring, nil
+}
+
+// decodeKey returns a base64.CorruptInputError or a *KeySizeError.
+func decodeKey(text string) (ed25519.PublicKey, error) {
+	key, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, err
+	}
+	if len(key) != ed25519.PublicKeySize {
+		return nil, &KeySizeError{Bytes: len(key)}
+	}
+	return key, nil
 }
--- a/internal/settings/listen.go
+++ b/internal/settings/listen.go
@@ -3,9 +3,9 @@
 // Listen holds the addresses of a node's listeners.
 type Listen struct {
 	// Calls accepts calls from callers, upstreams and other nodes.
-	Calls string `json:"calls" validate:"required,hostname_port"`
+	Calls string `json:"calls" validate:"required,ip_port"`
 	// Peers accepts control messages from other nodes.
-	Peers string `json:"peers" validate:"required,hostname_port"`
+	Peers string `json:"peers" validate:"required,ip_port"`
 	// Admin serves the administration API.
-	Admin string `json:"admin" validate:"required,hostname_port"`
+	Admin string `json:"admin" validate:"required,ip_port"`
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -2,24 +2,26 @@
 
 // Node is the settings of one node. It is read-only after Parse.
 type Node struct {
+	// Preset names a deployment whose defaults apply; empty means none.
+	Preset string `json:"preset,omitempty" validate:"omitempty,oneof=nadroka formosa-heralds"`
 	// VM is the id of the VM in the platform's list.
-	VM string `json:"vm" validate:"required"`
+	VM string `json:"vm" validate:"required,max=128"`
 	// Zone is the availability zone of the VM.
-	Zone string `json:"zone" validate:"required"`
+	Zone string `json:"zone" validate:"required,max=128"`
 	// Region is the region of the VM.
-	Region string `json:"region" validate:"required"`
+	Region string `json:"region" validate:"required,max=128"`
 	// Service is the service label of the upstream on the VM.
-	Service string `json:"service" validate:"required"`
+	Service string `json:"service" validate:"required,max=128"`
 	// Listen holds the node's own addresses, ip:port.
 	Listen Listen `json:"listen"`
 	// Advertise holds addresses that differ from the listening ones.
 	Advertise Advertise `json:"advertise"`
 	// Upstream is the address of the upstream on the VM, ip:port.
-	Upstream string `json:"upstream" validate:"required,hostname_port"`
+	Upstream string `json:"upstream" validate:"required,ip_port"`
 	// Platform tells where the platform is.
 	Platform Platform `json:"platform"`
 	// Seeds are peer addresses to join through; they may be out of date.
-	Seeds []string `json:"seeds" validate:"dive,hostname_port"`
+	Seeds []string `json:"seeds" validate:"dive,ip_port"`
 	// Keys holds the public keys of both leads.
 	Keys Keys `json:"keys"`
 	// JoinTimeoutMs is how long an empty node looks for one that serves
--- a/internal/strictjson/decoder.go
+++ b/internal/strictjson/decoder.go
@@ -36,6 +36,10 @@
 			d.array(arr, into, pointer)
 			return
 		}
+		// Go programs encode an empty list as null.
+		if lit, ok := v.Value.(hujson.Literal); ok && lit.Kind() == 'n' {
+			return
+		}
 	default:
 		if lit, ok := v.Value.(hujson.Literal); ok && lit.Kind() != 'n' && json.Unmarshal(lit, into.Addr().Interface()) == nil {
 			return
