--- a/internal/runtime/timer_set.go
+++ b/internal/runtime/timer_set.go
@@ -7,7 +7,7 @@
 	state *timerState
 }
 
-func newTimerSet() timerSet { return timerSet{state: &timerState{timers: map[*time.Timer]struct{}{}}} }
+func newTimerSet() timerSet { return timerSet{state: &timerState{timers: map[uint64]*time.Timer{}}} }
 
 // start calls f in a goroutine of its own after d, unless the set is stopped.
 func (t timerSet) start(d time.Duration, f func()) {
@@ -17,17 +17,14 @@
 	if s.stopped {
 		return
 	}
-	// The callback gets the timer through a channel: with a short d it can run
-	// before AfterFunc has returned.
-	started := make(chan *time.Timer, 1)
-	timer := time.AfterFunc(d, func() {
-		if s.finish(<-started) {
+	s.lastID++
+	id := s.lastID
+	s.timers[id] = time.AfterFunc(d, func() {
+		if s.finish(id) {
 			defer s.running.Done()
 			f()
 		}
 	})
-	s.timers[timer] = struct{}{}
-	started <- timer
 }
 
 // stop ends all timers and waits for running functions.
@@ -35,7 +32,7 @@
 	s := t.state
 	s.mu.Lock()
 	s.stopped = true
-	for timer := range s.timers {
+	for _, timer := range s.timers {
 		timer.Stop()
 	}
 	clear(s.timers)
