Tie join answers to the question and keep published versions pending

Change: Ask in Heartbeat, JoinRequest and JoinResponse; published transfers are retried every 2 s; fallback reads for a version take a random turn; starting nodes leave the first reads to readers; control.Invariants asserts versions forward, known services and joined before serving.

--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -27,9 +27,11 @@
 		a.refuse(env, err, out)
 		return false
 	}
+	before := a.store.CurrentID()
 	if err := a.store.Apply(snap); err != nil {
 		return false
 	}
+	a.checkAdopted(before, snap)
 	a.transfers.dropUpTo(snap.ID)
 	out.log(effect.EventVersionAdopted, "version", snap.ID.Version, "digest", snap.ID.Digest.String(), "origin", origin)
 	self := a.self.get()
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -27,6 +27,9 @@
 	platform  platformState
 	join      joinState
 
+	// served is the version at the last check that found the node ready.
+	served atomic.Pointer[snapshot.ID]
+
 	ticks atomic.Uint64
 	// lastTick is the Unix time of the last tick in nanoseconds.
 	lastTick atomic.Int64
@@ -85,6 +88,7 @@
 		a.onJoinResponse(now, m, &out)
 	}
 	a.checkReady(now, &out)
+	a.checkServing(now)
 	return out
 }
 
@@ -106,6 +110,7 @@
 		a.onFallbackTimer(now, &out)
 	}
 	a.checkReady(now, &out)
+	a.checkServing(now)
 	return out
 }
 
@@ -121,6 +126,7 @@
 		a.onVMListAnswer(now, ans, &out)
 	}
 	a.checkReady(now, &out)
+	a.checkServing(now)
 	return out
 }
 
--- /dev/null
+++ b/internal/control/check.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// checkAdopted checks a version just put in force. before is the version in
+// force when its adoption began.
+func (a *Agent) checkAdopted(before snapshot.ID, snap *snapshot.Snapshot) {
+	now := a.store.CurrentID()
+	a.cfg.Invariants.Check(before.Less(snap.ID) && !now.Less(snap.ID), "version-forward",
+		"version %s in force after %s and %s", now, before, snap.ID)
+	for _, r := range snap.Document.Routes() {
+		a.checkRoute(snap, r)
+	}
+}
+
+func (a *Agent) checkRoute(snap *snapshot.Snapshot, r *config.Route) {
+	_, ok := snap.Document.Service(r.Service)
+	a.cfg.Invariants.Check(ok, "route-known-service", "version %s: route %s refers to unknown service %s", snap.ID, r.Name, r.Service)
+}
+
+// checkServing checks that a node that says it is ready has joined and holds a
+// version that no earlier check found newer.
+func (a *Agent) checkServing(now time.Time) {
+	if !a.Ready(now) {
+		return
+	}
+	current := a.store.CurrentID()
+	a.cfg.Invariants.Check(!current.IsZero(), "serving-joined", "ready with no version in force")
+	last := a.served.Swap(&current)
+	if last != nil && current.Less(*last) {
+		// Another goroutine may have stored a newer ID after current was read.
+		current = a.store.CurrentID()
+		a.cfg.Invariants.Check(!current.Less(*last), "served-forward", "serving %s after %s", current, *last)
+	}
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -33,6 +33,8 @@
 	// better against a stale platform; shorter starts a new fleet sooner.
 	// Default 5 s.
 	JoinTimeout time.Duration
+	// Invariants records broken invariants; nil means that none are recorded.
+	Invariants Invariants
 	// Seed seeds the agent's random numbers.
 	Seed uint64
 }
@@ -48,5 +50,8 @@
 	if c.JoinTimeout == 0 {
 		c.JoinTimeout = 5 * time.Second
 	}
+	if c.Invariants == nil {
+		c.Invariants = nopInvariants{}
+	}
 	return c
 }
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -20,6 +20,7 @@
 		Ready:         a.Ready(now),
 		PlatformAgeMs: age,
 		ZoneAgesMs:    a.zoneAges(now),
+		Ask:           a.join.ask(),
 		Reply:         reply,
 	}
 }
@@ -31,9 +32,11 @@
 	}
 	a.hearZones(now, m)
 	a.hearSender(now, m.From, out)
-	a.join.hear(m.From.VM, m.Current, m.Ready)
+	a.join.hear(m.From.VM, m.Current, m.Ready, m.Reply && m.Ask != 0, m.Ask)
 	if !m.Reply {
-		out.send(a.self.get(), m.From, a.heartbeat(now, true))
+		reply := a.heartbeat(now, true)
+		reply.Ask = m.Ask
+		out.send(a.self.get(), m.From, reply)
 	}
 	a.onOffer(now, m.Current, m.From.VM, out)
 }
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -6,13 +6,14 @@
 	"github.com/filbertpier/filbertpier/internal/effect"
 	"github.com/filbertpier/filbertpier/internal/member"
 	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/internal/reader"
 	"github.com/filbertpier/filbertpier/internal/spread"
 )
 
 // startJoin makes the node ask peers before it serves. It runs at the start and
 // after a pause.
 func (a *Agent) startJoin(now time.Time, out *effects) {
-	a.join.restart(now.Add(a.cfg.JoinTimeout))
+	a.join.restart(now, a.cfg.JoinTimeout)
 	a.delayReading(now)
 	a.askToJoin(now, out)
 	out.timer(a.rng.jitter(a.cfg.HeartbeatInterval/2), effect.Timer{Kind: effect.TimerJoin})
@@ -24,6 +25,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.readerNotBefore = now.Add(settleIntervals * a.cfg.HeartbeatInterval)
+	p.fallbackNotBefore = now.Add(reader.StaleAfter)
 	p.aloneNotBefore = now
 	if len(a.cfg.Seeds) > 0 {
 		p.aloneNotBefore = now.Add(a.rng.jitter(joinListWindow) - joinListWindow/2)
@@ -38,7 +40,7 @@
 	if len(view.All()) <= 1 {
 		for _, addr := range a.cfg.Seeds {
 			if addr != self.PeerAddr {
-				out.sendAddr(addr, &message.JoinRequest{From: self})
+				out.sendAddr(addr, &message.JoinRequest{From: self, Ask: a.join.ask()})
 			}
 		}
 		return
@@ -69,6 +71,7 @@
 		Current: a.store.CurrentID(),
 		Ready:   a.Ready(now),
 		Members: a.table.All(),
+		Ask:     m.Ask,
 	})
 	if a.applyMember(now, m.From, out) {
 		a.queueUpdates(spread.FromPlatform, out, m.From)
@@ -81,7 +84,7 @@
 	a.watches.mark(m.From.VM, now)
 	a.hearSender(now, m.From, out)
 	a.mergeQuietly(now, m.Members, out)
-	a.join.hear(m.From.VM, m.Current, m.Ready)
+	a.join.hear(m.From.VM, m.Current, m.Ready, true, m.Ask)
 	a.onOffer(now, m.Current, m.From.VM, out)
 }
 
@@ -106,7 +109,7 @@
 		return
 	}
 	known := len(a.table.View(now).All()) - 1
-	if a.join.complete(now, a.store.CurrentID(), known) {
+	if a.join.complete(now, a.store.CurrentID(), known, a.refused.has) {
 		out.log(effect.EventReady, "version", a.store.CurrentID().Version, "known_members", known)
 	}
 }
--- a/internal/control/join_state.go
+++ b/internal/control/join_state.go
@@ -14,17 +14,24 @@
 	mu       sync.Mutex
 	ready    bool
 	deadline time.Time
-	heard    map[string]snapshot.ID
-	// established counts the peers heard that serve calls themselves.
+	// attempt identifies the current attempt to join. Messages that waited
+	// while the process was paused answer an earlier one.
+	attempt uint64
+	heard   map[string]snapshot.ID
+	// answered and established hold the peers that answered this attempt, and
+	// those of them that serve calls themselves.
+	answered    map[string]bool
 	established map[string]bool
 }
 
-func (j *joinState) restart(deadline time.Time) {
+func (j *joinState) restart(now time.Time, timeout time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.ready = false
-	j.deadline = deadline
+	j.deadline = now.Add(timeout)
+	j.attempt = uint64(now.UnixNano())
 	j.heard = map[string]snapshot.ID{}
+	j.answered = map[string]bool{}
 	j.established = map[string]bool{}
 }
 
@@ -34,32 +41,51 @@
 	return j.ready
 }
 
-func (j *joinState) hear(vm string, id snapshot.ID, serves bool) {
+// ask returns the attempt that questions carry, or 0 if the node is ready.
+func (j *joinState) ask() uint64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.ready {
+		return 0
+	}
+	return j.attempt
+}
+
+// hear notes the version of a peer; it counts as asked if the message answers
+// a question of the current attempt.
+func (j *joinState) hear(vm string, id snapshot.ID, serves, answer bool, attempt uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.ready {
+		return
+	}
+	if j.heard[vm].Less(id) {
+		j.heard[vm] = id
+	}
+	if !answer || attempt != j.attempt {
 		return
 	}
-	j.heard[vm] = id
+	j.answered[vm] = true
 	if serves {
 		j.established[vm] = true
 	}
 }
 
 // complete marks the node ready if it may be, and reports whether this call
-// did. known is the number of other live members.
-func (j *joinState) complete(now time.Time, current snapshot.ID, known int) bool {
+// did. known is the number of other live members. A version that the node
+// refused for its content does not keep it from serving.
+func (j *joinState) complete(now time.Time, current snapshot.ID, known int, refused func(snapshot.ID) bool) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.ready || current.IsZero() {
 		return false
 	}
 	for _, id := range j.heard {
-		if current.Less(id) {
+		if current.Less(id) && !refused(id) {
 			return false
 		}
 	}
-	enough := len(j.heard) >= min(joinPeers, known) && len(j.established) > 0
+	enough := len(j.answered) >= min(joinPeers, known) && len(j.established) > 0
 	if !enough && now.Before(j.deadline) {
 		return false
 	}
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -51,10 +51,23 @@
 	// strayDelay gives both gateways that time before another node pulls
 	// across regions; up to the same time is added at random.
 	strayDelay = time.Second
+	// publishedRetry is the time between later attempts to complete a version
+	// whose manifest came from the platform. It is not abandoned: its sections
+	// may appear long after it, and a watch reports the manifest only once.
+	publishedRetry = 2 * time.Second
+	// maxCallerTransfers bounds the transfers of versions that only calls
+	// name: callers may name versions that do not exist.
+	maxCallerTransfers = 4
+	// maxSectionReads bounds the unanswered section reads of one transfer, so
+	// that the first version of 360 services does not exceed the platform's
+	// rate.
+	maxSectionReads = 64
+	// sectionReadRetry is the time after which a section is read again.
+	sectionReadRetry = time.Second
 	// maxTransferAttempts bounds one transfer; heartbeats start a new one.
 	maxTransferAttempts = 20
 	// transferAttemptsBeforePlatform is the number of failed attempts after
-	// which a node asks the platform for the manifest.
+	// which a node asks the platform for the manifest in its random turn.
 	transferAttemptsBeforePlatform = 5
 	// maxTransferSources bounds the sources kept for a transfer.
 	maxTransferSources = 8
--- /dev/null
+++ b/internal/control/nop_invariants.go
@@ -0,0 +1,7 @@
+package control
+
+// nopInvariants is used where no Invariants are configured.
+type nopInvariants struct{}
+
+// Check implements Invariants.
+func (nopInvariants) Check(bool, string, string, ...any) {}
--- a/internal/control/offer.go
+++ b/internal/control/offer.go
@@ -20,6 +20,9 @@
 	if !current.Less(id) || a.refused.has(id) {
 		return
 	}
+	if vm == "" && a.transfers.withoutSource() >= maxCallerTransfers {
+		return
+	}
 	created := false
 	a.transfers.update(id, func(tr *transfer, isNew bool) {
 		created = isNew
@@ -58,27 +61,31 @@
 // pull asks the next source for a version and arms the retry.
 func (a *Agent) pull(now time.Time, id snapshot.ID, out *effects) {
 	self := a.self.get()
-	attempts, source := 0, ""
+	attempts, source, published := 0, "", false
 	alive := a.transfers.with(id, func(tr *transfer) {
 		tr.attempts++
 		attempts = tr.attempts
 		source = tr.nextSource()
+		published = tr.envelope != nil
 	})
 	if !alive {
 		return
 	}
-	if attempts > maxTransferAttempts {
+	if attempts > maxTransferAttempts && !published {
 		a.transfers.drop(id)
 		out.log(effect.EventTransferGivenUp, "version", id.Version)
 		return
 	}
-	if attempts == transferAttemptsBeforePlatform {
-		out.read(effect.ReadPlatform{Query: effect.QueryManifest})
+	if attempts == transferAttemptsBeforePlatform && source != "" {
+		a.armFallback(now, true, out)
 	}
 	wait := transferRetry
+	if attempts > maxTransferAttempts {
+		wait = publishedRetry
+	}
 	if to, ok := a.pullTarget(now, source, attempts, self); ok {
 		if to.Region != self.Region {
-			wait = transferRetryFar
+			wait = max(wait, transferRetryFar)
 		}
 		out.send(self, to, &message.PullRequest{VM: self.VM, Want: id, Have: a.store.CurrentID()})
 	}
@@ -100,7 +107,7 @@
 		return
 	}
 	a.pull(now, id, out)
-	a.readMissing(id, out)
+	a.readMissing(now, id, out)
 }
 
 // versionSeed gives each version a tree of its own.
--- a/internal/control/platform_answers.go
+++ b/internal/control/platform_answers.go
@@ -78,7 +78,7 @@
 		return
 	}
 	if a.self.get().Region == a.cfg.PlatformRegion || current.IsZero() {
-		a.readMissing(id, out)
+		a.readMissing(now, id, out)
 	}
 	if created {
 		out.timer(a.farDelay(now, id), effect.Timer{Kind: effect.TimerTransfer, ID: id})
@@ -100,9 +100,9 @@
 
 // readMissing reads the absent sections of a pending version whose manifest
 // came from the platform.
-func (a *Agent) readMissing(id snapshot.ID, out *effects) {
+func (a *Agent) readMissing(now time.Time, id snapshot.ID, out *effects) {
 	a.transfers.with(id, func(tr *transfer) {
-		for _, d := range tr.missing(a.holdsSection) {
+		for _, d := range tr.nextReads(now, a.holdsSection) {
 			out.read(effect.ReadPlatform{Query: effect.QuerySection, Section: d, ID: id})
 		}
 	})
@@ -134,9 +134,11 @@
 			env, sections = tr.envelope, maps.Clone(tr.sections)
 		}
 	})
-	if env != nil {
-		a.adopt(now, env, sections, spread.FromPlatform, out)
+	if env == nil {
+		a.readMissing(now, id, out)
+		return
 	}
+	a.adopt(now, env, sections, spread.FromPlatform, out)
 }
 
 func (a *Agent) onVMListAnswer(now time.Time, ans effect.PlatformAnswer, out *effects) {
--- a/internal/control/platform_read.go
+++ b/internal/control/platform_read.go
@@ -12,6 +12,10 @@
 // fallback if nobody seems to read.
 func (a *Agent) readIfDue(now time.Time, view *member.View, self member.Member, out *effects) {
 	isReader := reader.IsReader(view, self, now)
+	if !isReader {
+		a.armFallback(now, false, out)
+		return
+	}
 	p := &a.platform
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -19,16 +23,26 @@
 		return
 	}
 	near := self.Region == a.cfg.PlatformRegion
-	if isReader {
-		a.watchManifest(now, near, out)
-		a.readList(now, near, out)
+	a.watchManifest(now, near, out)
+	a.readList(now, near, out)
+}
+
+// armFallback starts the random delay before a read outside the node's turn, if
+// nobody seems to read or the read is wanted for a version.
+func (a *Agent) armFallback(now time.Time, wanted bool, out *effects) {
+	known := len(a.table.View(now).All())
+	p := &a.platform
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Before(p.fallbackNotBefore) || known <= 1 && now.Before(p.aloneNotBefore) {
 		return
 	}
-	if p.fallbackArmed || now.Sub(p.lastSeen) <= reader.StaleAfter {
+	p.fallbackWanted = p.fallbackWanted || wanted
+	if p.fallbackArmed || !wanted && now.Sub(p.lastSeen) <= reader.StaleAfter {
 		return
 	}
 	p.fallbackArmed = true
-	out.timer(reader.FallbackDelay(len(view.All()), a.rng.fork()), effect.Timer{Kind: effect.TimerFallback})
+	out.timer(reader.FallbackDelay(known, a.rng.fork()), effect.Timer{Kind: effect.TimerFallback})
 }
 
 // watchManifest keeps one watch open. The caller holds platform.mu.
@@ -64,8 +78,8 @@
 func (a *Agent) onFallbackTimer(now time.Time, out *effects) {
 	p := &a.platform
 	p.mu.Lock()
-	p.fallbackArmed = false
-	stale := now.Sub(p.lastSeen) > reader.StaleAfter
+	stale := p.fallbackWanted || now.Sub(p.lastSeen) > reader.StaleAfter
+	p.fallbackArmed, p.fallbackWanted = false, false
 	p.mu.Unlock()
 	if !stale {
 		return
--- a/internal/control/platform_state.go
+++ b/internal/control/platform_state.go
@@ -20,10 +20,16 @@
 	manifestNotBefore time.Time
 	listNotBefore     time.Time
 	fallbackArmed     bool
+	// fallbackWanted is set if a version that a peer announced is not to be
+	// had from peers; the armed fallback then reads in any case.
+	fallbackWanted bool
 	// readerNotBefore keeps a starting node from reading while it knows only
 	// part of the fleet; aloneNotBefore while it knows no other node.
 	readerNotBefore time.Time
 	aloneNotBefore  time.Time
+	// fallbackNotBefore gives the readers the time to read before a starting
+	// node, which has heard of no read yet, does so outside its turn.
+	fallbackNotBefore time.Time
 }
 
 // seen moves lastSeen forward.
--- a/internal/control/transfer.go
+++ b/internal/control/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/filbertpier/filbertpier/config/manifest"
 	"github.com/filbertpier/filbertpier/snapshot"
@@ -17,6 +18,8 @@
 	envelope *manifest.Envelope
 	manifest *manifest.Manifest
 	sections map[manifest.Digest][]byte
+	// reading holds when reads of sections started.
+	reading map[manifest.Digest]time.Time
 }
 
 // missing returns the sections that neither the transfer nor held has.
@@ -33,6 +36,28 @@
 	return out
 }
 
+// nextReads returns the missing sections to read now and notes that they are
+// being read.
+func (t *transfer) nextReads(now time.Time, held func(manifest.Digest) bool) []manifest.Digest {
+	if t.reading == nil {
+		t.reading = map[manifest.Digest]time.Time{}
+	}
+	pending := 0
+	var out []manifest.Digest
+	for _, d := range t.missing(held) {
+		if at, ok := t.reading[d]; ok && now.Sub(at) < sectionReadRetry {
+			pending++
+			continue
+		}
+		out = append(out, d)
+	}
+	out = out[:min(len(out), max(0, maxSectionReads-pending))]
+	for _, d := range out {
+		t.reading[d] = now
+	}
+	return out
+}
+
 func (t *transfer) addSource(vm string) {
 	if vm != "" && len(t.sources) < maxTransferSources && !slices.Contains(t.sources, vm) {
 		t.sources = append(t.sources, vm)
--- a/internal/control/transfers.go
+++ b/internal/control/transfers.go
@@ -49,6 +49,23 @@
 	return ok
 }
 
+// withoutSource counts the transfers that no peer offered: only calls name
+// their versions.
+func (t *transfers) withoutSource() int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, tr := range s.byID {
+			if len(tr.sources) == 0 && tr.envelope == nil {
+				n++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
 func (t *transfers) drop(id snapshot.ID) {
 	s := t.shard(id)
 	s.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,7 @@
 		Seeds:          s.Seeds,
 		PlatformRegion: s.Platform.Region,
 		JoinTimeout:    time.Duration(s.JoinTimeoutMs) * time.Millisecond,
+		Invariants:     n.invariants,
 		Seed:           boot,
 	}, snapshot.NewStore())
 	n.runtime = runtime.New(n.agent, platform.NewHTTPClient(s.Platform.URL), log.Named("control"), n.metrics)
--- a/internal/testkit/virtual/fleet.go
+++ b/internal/testkit/virtual/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/filbertpier/filbertpier/internal/effect"
 	"github.com/filbertpier/filbertpier/internal/member"
 	"github.com/filbertpier/filbertpier/internal/platform"
+	"github.com/filbertpier/filbertpier/internal/telemetry"
 	"github.com/filbertpier/filbertpier/internal/testkit"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
@@ -30,6 +31,11 @@
 	// all can.
 	PlatformCut func(*Node) bool
 
+	// Invariants counts broken invariants of all nodes; they are fatal.
+	Invariants *telemetry.Invariants
+	// Observe, if set, is called after each event that a node handled.
+	Observe func(*Node)
+
 	byAddr map[string]*Node
 	boots  uint64
 }
@@ -37,6 +43,7 @@
 // NewFleet returns a fleet whose nodes are not started.
 func NewFleet(o Options) *Fleet {
 	f := &Fleet{Options: o, Clock: NewClock(), Publisher: testkit.NewPublisher(), byAddr: map[string]*Node{}}
+	f.Invariants = telemetry.NewInvariants(telemetry.NewMetrics(), true)
 	f.Platform = newPlatform(f.Clock)
 	f.Network = newNetwork(f)
 	for r := range o.Regions {
@@ -70,6 +77,25 @@
 	return list
 }
 
+// WakeAll ends all pauses.
+func (f *Fleet) WakeAll() {
+	for _, n := range f.Nodes {
+		n.pausedUntil = f.Clock.Now()
+		n.wake()
+	}
+}
+
+// ListLeaving makes the VM list name a node's VM as leaving from now.
+func (f *Fleet) ListLeaving(n *Node) {
+	list := f.listed()
+	for i := range list {
+		if list[i].ID == n.Record.VM {
+			list[i].State, list[i].LeavingSince = platform.VMLeaving, f.Clock.Now().UnixMilli()
+		}
+	}
+	f.Platform.PutVMs(list)
+}
+
 // PlatformRegion returns the region that hosts the platform.
 func (f *Fleet) PlatformRegion() string { return "r0" }
 
@@ -81,10 +107,11 @@
 	n.AdoptedAt = map[uint64]time.Time{}
 	n.Events = map[effect.Event]int{}
 	n.Highest = snapshot.ID{}
+	n.PlatformCalls = 0
 	n.pausedUntil, n.held = time.Time{}, nil
 	n.Agent = control.New(control.Config{
 		Self: n.Record, Keys: f.Publisher.Keys(), Seeds: f.seedsOf(n), PlatformRegion: f.PlatformRegion(),
-		JoinTimeout: f.Options.JoinTimeout, Seed: f.Options.Seed + f.boots,
+		JoinTimeout: f.Options.JoinTimeout, Seed: f.Options.Seed + f.boots, Invariants: f.Invariants,
 	}, snapshot.NewStore())
 	n.carryOut(n.Agent.Start(f.Clock.Now()))
 }
@@ -124,13 +151,21 @@
 	for _, s := range sections {
 		f.Platform.Put(platform.SectionKey(manifest.Sum(s.Raw)), s.Raw)
 	}
-	env := f.Publisher.Accepted(version, sections)
+	return f.PublishEnvelope(f.Publisher.Accepted(version, sections))
+}
+
+// PublishEnvelope publishes a manifest without its sections.
+func (f *Fleet) PublishEnvelope(env *manifest.Envelope) snapshot.ID {
 	raw, err := env.Encode()
 	if err != nil {
 		panic(err)
 	}
 	f.Platform.Put(platform.ManifestKey, raw)
-	return snapshot.ID{Version: version, Digest: env.Digest()}
+	m, err := manifest.Decode(env.Manifest)
+	if err != nil {
+		return snapshot.ID{}
+	}
+	return snapshot.ID{Version: m.Version, Digest: env.Digest()}
 }
 
 // Behind returns the running nodes whose version is before id.
--- a/internal/testkit/virtual/node.go
+++ b/internal/testkit/virtual/node.go
@@ -24,6 +24,9 @@
 	// Events counts the logged decisions of the running process.
 	Events map[effect.Event]int
 
+	// PlatformCalls counts the reads of the running process.
+	PlatformCalls int
+
 	pausedUntil time.Time
 	held        []func()
 }
@@ -42,6 +45,15 @@
 		return
 	}
 	n.carryOut(f())
+	if observe := n.fleet.Observe; observe != nil {
+		observe(n)
+	}
+}
+
+// CatchUp makes the node fetch a version that a call requires.
+func (n *Node) CatchUp(id snapshot.ID) {
+	process := n.Agent
+	n.do(process, func() []effect.Effect { return process.CatchUp(n.fleet.Clock.Now(), id) })
 }
 
 func (n *Node) wake() {
@@ -79,6 +91,7 @@
 	if f.PlatformCut != nil && f.PlatformCut(n) {
 		return
 	}
+	n.PlatformCalls++
 	f.Clock.After(delay, func() {
 		f.Platform.read(r, func(ans effect.PlatformAnswer) {
 			f.Clock.After(delay, func() {
