--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -8,6 +8,17 @@
 	// missedIntervals is the number of silent heartbeat intervals after which
 	// a watched member is suspected.
 	missedIntervals = 2
+	// maxSuspectsKept bounds the remembered own suspicions of one shard.
+	maxSuspectsKept = 64
+	// deadProbeTicks is the number of ticks between heartbeats to a random
+	// dead member of the zone. Both halves of a zone that was split take each
+	// other for dead; without probes they would not find back together.
+	deadProbeTicks = 2
+	// zoneSilence and zoneSilenceFar are how long nothing is heard from a zone
+	// of the region, or of another region, before it is suspect as a whole.
+	// Gateways reach each zone of another region about every 8 s.
+	zoneSilence    = 10 * time.Second
+	zoneSilenceFar = 30 * time.Second
 	// pauseIntervals is the number of heartbeat intervals between two ticks
 	// after which the node assumes that it was paused itself.
 	pauseIntervals = 3
@@ -16,7 +27,7 @@
 	settleIntervals = 2
 	// antiEntropyTicks is the number of ticks between comparisons of the
 	// member table with a peer in the same region.
-	antiEntropyTicks = 30
+	antiEntropyTicks = 10
 	// gatewayTicks is the number of ticks between heartbeats to other regions.
 	gatewayTicks = 2
 	// gatewayAntiEntropyTicks is the number of ticks between comparisons of
@@ -40,10 +51,23 @@
 	// strayDelay gives both gateways that time before another node pulls
 	// across regions; up to the same time is added at random.
 	strayDelay = time.Second
+	// publishedRetry is the time between later attempts to complete a version
+	// whose manifest came from the platform. It is not abandoned: its sections
+	// may appear long after it, and a watch reports the manifest only once.
+	publishedRetry = 2 * time.Second
+	// maxCallerTransfers bounds the transfers of versions that only calls
+	// name: callers may name versions that do not exist.
+	maxCallerTransfers = 4
+	// maxSectionReads bounds the unanswered section reads of one transfer, so
+	// that the first version of 360 services does not exceed the platform's
+	// rate.
+	maxSectionReads = 64
+	// sectionReadRetry is the time after which a section is read again.
+	sectionReadRetry = time.Second
 	// maxTransferAttempts bounds one transfer; heartbeats start a new one.
 	maxTransferAttempts = 20
 	// transferAttemptsBeforePlatform is the number of failed attempts after
-	// which a node asks the platform for the manifest.
+	// which a node asks the platform for the manifest in its random turn.
 	transferAttemptsBeforePlatform = 5
 	// maxTransferSources bounds the sources kept for a transfer.
 	maxTransferSources = 8
--- a/internal/spread/delta.go
+++ b/internal/spread/delta.go
@@ -21,7 +21,7 @@
 // EncodeDelta compresses data, with base as dictionary if it is not empty. It
 // is safe for concurrent use.
 func EncodeDelta(base, data []byte) ([]byte, error) {
-	opts := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithLowerEncoderMem(true),
+	opts := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(levelFor(len(base) + len(data))), zstd.WithLowerEncoderMem(true),
 		zstd.WithWindowSize(windowFor(len(base) + len(data)))}
 	if len(base) > 0 {
 		opts = append(opts, zstd.WithEncoderDictRaw(dictID, base))
@@ -34,6 +34,18 @@
 	return enc.EncodeAll(data, nil), nil
 }
 
+// smallContent is the size in bytes, base included, up to which the fastest
+// level is used: its deltas are as short there, and its tables are a fifth of
+// the default level's.
+const smallContent = 1 << 10
+
+func levelFor(n int) zstd.EncoderLevel {
+	if n <= smallContent {
+		return zstd.SpeedFastest
+	}
+	return zstd.SpeedDefault
+}
+
 // windowFor returns the smallest window that covers n bytes. The encoder
 // allocates and clears its window for each frame, and sections are small.
 func windowFor(n int) int {
