Add fpctl check-settings

Operators could only find faults of settings by starting a node. The command prints what settings.Parse returns, with the same exit code as an invalid document. Adding a flag to fpnode was ruled out: checking belongs on the operator's machine. 'go test -race ./cmd/fpctl' passes with a case for it. Conclusion: settings can be checked before a rollout.

--- a/cmd/fpctl/app_test.go
+++ b/cmd/fpctl/app_test.go
@@ -225,6 +225,10 @@
 	b.run(ctl.ExitUsage, "nonsense")
 	b.run(ctl.ExitFailure, "check missing")
 	b.run(ctl.ExitRefused, "status")
+	b.put("settings.jsonc", `{"vm": 1}`)
+	if out, _ := b.run(ctl.ExitInvalid, "check-settings settings.jsonc"); !strings.Contains(out, "/vm: wrong-type") {
+		t.Errorf("settings: %s", out)
+	}
 	b.put("bad.jsonc", "{\n")
 	out, errs := b.run(ctl.ExitInvalid, "--output json check bad.jsonc")
 	var result ctl.CheckResult
--- a/cmd/fpctl/document_commands.go
+++ b/cmd/fpctl/document_commands.go
@@ -12,6 +12,7 @@
 
 func (a *app) addDocumentCommands() {
 	a.addCheck()
+	a.addCheckSettings()
 	a.addDiff()
 	a.addSplit()
 	a.addAssemble()
@@ -29,6 +30,12 @@
 	})
 }
 
+func (a *app) addCheckSettings() {
+	cmd := a.command("check-settings", "Check the settings of a node as it does when it starts.")
+	path := cmd.Arg("file", "Settings file.").Required().String()
+	a.on(cmd, func(context.Context) (ctl.Result, error) { return outcome(ctl.CheckSettings(*path)) })
+}
+
 func (a *app) addDiff() {
 	cmd := a.command("diff", "Compare two documents by section and by effect.")
 	before := cmd.Arg("before", pathsHelp).Required().String()
--- a/internal/ctl/exit_code.go
+++ b/internal/ctl/exit_code.go
@@ -7,6 +7,7 @@
 	"github.com/filbertpier/filbertpier/config/manifest"
 	"github.com/filbertpier/filbertpier/internal/ctl/fleet"
 	"github.com/filbertpier/filbertpier/internal/ctl/refusal"
+	"github.com/filbertpier/filbertpier/internal/settings"
 )
 
 // ExitCode is the exit status of fpctl. The numbers are documented in
@@ -28,6 +29,7 @@
 func ExitCodeOf(err error) ExitCode {
 	var (
 		invalid   *config.InvalidDocumentError
+		unusable  *settings.InvalidError
 		refused   *refusal.Error
 		signature *manifest.SignatureError
 		nodes     *fleet.Error
@@ -35,7 +37,7 @@
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &invalid):
+	case errors.As(err, &invalid), errors.As(err, &unusable):
 		return ExitInvalid
 	case errors.As(err, &refused), errors.As(err, &signature):
 		return ExitRefused
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -2,12 +2,9 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"strings"
-
-	"github.com/filbertpier/filbertpier/config"
 )
 
 // Print writes the outcome of an operation, the result to stdout and the error
@@ -31,8 +28,8 @@
 		return code
 	}
 	text := err.Error()
-	var invalid *config.InvalidDocumentError
-	if result != nil && errors.As(err, &invalid) {
+	if result != nil && code == ExitInvalid {
+		// The result has listed the faults.
 		text, _, _ = strings.Cut(text, "\n")
 	}
 	_, _ = fmt.Fprintln(stderr, "fpctl:", text)
