--- a/cmd/fpctl/app_test.go
+++ b/cmd/fpctl/app_test.go
@@ -5,6 +5,8 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -217,6 +219,24 @@
 	b.run(ctl.ExitRefused, "check folder")
 }
 
+// Guards against commands and exit codes that docs/cli.md leaves out.
+func TestCommandsAreDocumented(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/cli.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name := range newApp(io.Discard, io.Discard).actions {
+		if !strings.Contains(string(raw), "| `"+name) {
+			t.Errorf("command %s is not documented", name)
+		}
+	}
+	for code := ctl.ExitOK; code <= ctl.ExitFleet; code++ {
+		if !strings.Contains(string(raw), fmt.Sprintf("| %d |", code)) {
+			t.Errorf("exit code %d is not documented", code)
+		}
+	}
+}
+
 // Guards against output that tools cannot decode and against wrong exit codes
 // for mistakes on the command line.
 func TestOutputForTools(t *testing.T) {
