--- a/config/check_test.go
+++ b/config/check_test.go
@@ -6,6 +6,7 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -189,7 +190,7 @@
 	}
 }
 
-// Guards against a rule that no case covers.
+// Guards against a rule that no case covers or that docs/cli.md leaves out.
 func TestEveryRuleHasACase(t *testing.T) {
 	source, err := parser.ParseFile(token.NewFileSet(), "rules.go", nil, 0)
 	if err != nil {
@@ -199,6 +200,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	page, err := os.ReadFile("../docs/cli.md")
+	if err != nil {
+		t.Fatal(err)
+	}
 	var covered strings.Builder
 	ast.Inspect(test, func(n ast.Node) bool {
 		if lit, ok := n.(*ast.BasicLit); ok {
@@ -210,6 +215,8 @@
 		if lit, ok := n.(*ast.BasicLit); ok {
 			if rule, _ := strconv.Unquote(lit.Value); !strings.Contains(covered.String(), " "+rule+`"`) {
 				t.Errorf("rule %q has no case", rule)
+			} else if !strings.Contains(string(page), "`"+rule+"`") {
+				t.Errorf("rule %q is not documented", rule)
 			}
 		}
 		return true
--- /dev/null
+++ b/config/compile_bench_test.go
@@ -0,0 +1,25 @@
+package config_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/testkit"
+)
+
+// BenchmarkCompile measures what each node does for each version, at the 360
+// services of the design size.
+func BenchmarkCompile(b *testing.B) {
+	names := make([]string, 360)
+	for i := range names {
+		names[i] = fmt.Sprintf("service-%03d", i)
+	}
+	sections := testkit.Sections(1, names...)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := config.Compile(sections); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/admin/handler_test.go
+++ b/internal/admin/handler_test.go
@@ -117,6 +117,40 @@
 	}
 }
 
+// Guards against a scraper that leaks connections and uses up a node's memory.
+func TestListenerBoundsConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := admin.NewServer(admin.NewHandler(newFake(), prometheus.NewRegistry()), hclog.NewNullLogger())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(admin.Bound(l))
+	}()
+	ask := func() error {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		_, _ = c.Write([]byte("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"))
+		_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+		_, err = c.Read(make([]byte, 1))
+		return err
+	}
+	answered := 0
+	for answered < 200 && ask() == nil {
+		answered++
+	}
+	if answered == 0 || answered == 200 {
+		t.Errorf("%d open connections were served", answered)
+	}
+	_ = server.Close()
+	<-done
+}
+
 // Guards against requests that use up the memory or the time of a node.
 func TestServerRefusesLargeRequests(t *testing.T) {
 	server := admin.NewServer(admin.NewHandler(newFake(), prometheus.NewRegistry()), hclog.NewNullLogger())
--- a/internal/ctl/check_result.go
+++ b/internal/ctl/check_result.go
@@ -22,7 +22,8 @@
 // either case.
 func Check(sections []config.Section) (*CheckResult, error) {
 	report := config.Check(sections)
-	r := &CheckResult{Valid: report.Document != nil, Sections: len(sections), Faults: report.Faults, Omitted: report.OmittedFaults, Warnings: report.Warnings}
+	r := &CheckResult{Valid: report.Document != nil, Sections: len(sections), Faults: append([]config.Fault{}, report.Faults...),
+		Omitted: report.OmittedFaults, Warnings: append([]config.Fault{}, report.Warnings...)}
 	for _, s := range sections {
 		r.Bytes += len(s.Raw)
 	}
--- a/internal/node/ports_test.go
+++ b/internal/node/ports_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/filbertpier/filbertpier/config/manifest"
 	"github.com/filbertpier/filbertpier/internal/admin"
+	"github.com/filbertpier/filbertpier/internal/ctl/fleet"
 	"github.com/filbertpier/filbertpier/internal/node"
 	"github.com/filbertpier/filbertpier/internal/platform"
 	"github.com/filbertpier/filbertpier/internal/settings"
@@ -103,4 +104,23 @@
 			t.Errorf("call port, %s %s: status %d, want 404", method, path, got)
 		}
 	}
+	checkTool(t, "http://"+s.Listen.Admin)
+}
+
+// checkTool guards against an API and a tool that no longer fit together.
+func checkTool(t *testing.T, url string) {
+	t.Helper()
+	c := fleet.NewClient([]string{url}, fleet.DefaultTimeout)
+	if list, err := c.Behind(t.Context(), 1); err != nil || len(list.Nodes) != 0 {
+		t.Errorf("behind: %+v, %v", list, err)
+	}
+	if list, err := c.Versions(t.Context()); err != nil || len(list.Versions) != 1 || list.Versions[0].ID.Version != 1 {
+		t.Errorf("versions: %+v, %v", list, err)
+	}
+	if list, err := c.Upstreams(t.Context()); err != nil || list.Upstreams[0].Limits.Services[0].Slots != 6 {
+		t.Errorf("upstreams: %+v, %v", list, err)
+	}
+	if changed, err := c.SetLogLevel(t.Context(), "warn"); err != nil || len(changed.Changed) != 1 {
+		t.Errorf("log level: %+v, %v", changed, err)
+	}
 }
