Bound kept faults on nodes and extra signatures from peers

Nodes remember 64 refused versions; with 1000 faults each they could take a large part of the 64 MB (reckoned, not measured), so Compile keeps 200 and counts the rest, while fpctl check still lists 1000. Envelopes from peers do not pass DecodeEnvelope, so Verify now also refuses extra or oversized signatures. A failed keygen no longer leaves half a pair. Conclusion: what a node keeps and passes on is bounded.

--- a/cmd/fpctl/app_test.go
+++ b/cmd/fpctl/app_test.go
@@ -166,6 +166,11 @@
 	b := newBench(t)
 	b.keys()
 	b.run(ctl.ExitFailure, "keygen --lead product --out product")
+	b.put("half.pub", "")
+	b.run(ctl.ExitFailure, "keygen --lead product --out half")
+	if _, err := os.Stat("half.key"); err == nil {
+		t.Error("a failed keygen left half a pair")
+	}
 	info, err := os.Stat("product.key")
 	if err != nil || info.Mode().Perm() != 0o600 {
 		t.Fatalf("key file: %v, %v", info.Mode(), err)
--- a/config/check_test.go
+++ b/config/check_test.go
@@ -185,6 +185,11 @@
 	if len(r.Faults) != config.MaxFaults || r.OmittedFaults == 0 {
 		t.Fatalf("%d faults, %d omitted", len(r.Faults), r.OmittedFaults)
 	}
+	var invalid *config.InvalidDocumentError
+	if _, err := config.Compile([]config.Section{section(raw)}); !errors.As(err, &invalid) || len(invalid.Faults) != config.MaxKeptFaults ||
+		invalid.Omitted != r.OmittedFaults+config.MaxFaults-config.MaxKeptFaults {
+		t.Errorf("Compile keeps %d faults and omits %d", len(invalid.Faults), invalid.Omitted)
+	}
 	if text := r.Err().Error(); len(text) > 10_000 || !strings.Contains(text, "more") {
 		t.Errorf("error text of %d bytes", len(text))
 	}
--- a/config/compile.go
+++ b/config/compile.go
@@ -1,22 +1,22 @@
 package config
 
 // Compile parses and checks all sections of a document as a whole. It returns
-// an *InvalidDocumentError that lists the faults found; no partial document
-// is ever returned.
+// an *InvalidDocumentError that lists at most MaxKeptFaults faults; no partial
+// document is ever returned.
 func Compile(sections []Section) (*Document, error) {
-	r := check(sections, false)
+	r := check(sections, MaxKeptFaults, false)
 	if err := r.Err(); err != nil {
 		return nil, err
 	}
 	return r.Document, nil
 }
 
-// Check does what Compile does and also looks for what is valid but probably
-// not meant.
-func Check(sections []Section) *Report { return check(sections, true) }
+// Check does what Compile does, lists up to MaxFaults faults and also looks for
+// what is valid but probably not meant.
+func Check(sections []Section) *Report { return check(sections, MaxFaults, true) }
 
-func check(sections []Section, warn bool) *Report {
-	c := newCompiler()
+func check(sections []Section, maxFaults int, warn bool) *Report {
+	c := newCompiler(maxFaults)
 	if c.checkSize(sections) {
 		for _, s := range sections {
 			c.addSection(s)
--- a/config/compiler.go
+++ b/config/compiler.go
@@ -6,9 +6,11 @@
 
 // compiler collects the declarations and the faults of all sections.
 type compiler struct {
-	doc     *Document
-	report  Report
-	sources []*source
+	doc    *Document
+	report Report
+	// maxFaults bounds the faults kept.
+	maxFaults int
+	sources   []*source
 	// unread is set if a section could not be decoded. References to what it
 	// declares cannot be checked then.
 	unread  bool
@@ -20,8 +22,9 @@
 	floorsOver bool
 }
 
-func newCompiler() *compiler {
+func newCompiler(maxFaults int) *compiler {
 	return &compiler{
+		maxFaults: maxFaults,
 		doc: &Document{
 			ranks:    map[string]*Rank{},
 			services: map[string]*Service{},
@@ -34,7 +37,7 @@
 }
 
 func (c *compiler) add(f Fault) {
-	if len(c.report.Faults) >= MaxFaults {
+	if len(c.report.Faults) >= c.maxFaults {
 		c.report.OmittedFaults++
 		return
 	}
--- a/config/invalid_document_error.go
+++ b/config/invalid_document_error.go
@@ -12,7 +12,7 @@
 // InvalidDocumentError lists the faults of a document.
 type InvalidDocumentError struct {
 	Faults []Fault
-	// Omitted counts the faults beyond MaxFaults.
+	// Omitted counts the faults beyond the bound.
 	Omitted int
 }
 
--- a/config/limits.go
+++ b/config/limits.go
@@ -10,9 +10,12 @@
 	MaxDocumentBytes = 4_000_000
 	// MaxSections bounds the number of sections of one document.
 	MaxSections = 4096
-	// MaxFaults bounds the faults and the warnings of one report. Nodes keep
-	// the faults of refused versions in memory; the rest is counted.
+	// MaxFaults bounds the faults and the warnings of a report; the rest is
+	// counted.
 	MaxFaults = 1000
+	// MaxKeptFaults bounds the faults that Compile returns: nodes remember the
+	// faults of up to 64 refused versions within their 64 MB.
+	MaxKeptFaults = 200
 	// MaxNameBytes bounds names: they appear in logs and as metric labels.
 	MaxNameBytes = 64
 	// MaxTimeoutMs bounds the timeout of a route in milliseconds.
--- a/config/manifest/key_ring.go
+++ b/config/manifest/key_ring.go
@@ -27,6 +27,10 @@
 			return nil, err
 		}
 	}
+	// Nodes pass on what they verified, so it must hold nothing unsigned.
+	if err := e.checkSignatures(); err != nil {
+		return nil, err
+	}
 	return Decode(e.Manifest)
 }
 
--- a/config/manifest/manifest_test.go
+++ b/config/manifest/manifest_test.go
@@ -69,6 +69,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if _, err := testkit.NewPublisher().Keys().Verify(&manifest.Envelope{Manifest: env.Manifest, Signatures: signatures}); err == nil {
+			t.Errorf("%s: verified", name)
+		}
 		var malformed *manifest.MalformedError
 		if _, err := manifest.DecodeEnvelope(raw); !errors.As(err, &malformed) {
 			t.Errorf("%s: got %v", name, err)
--- a/config/report.go
+++ b/config/report.go
@@ -9,11 +9,10 @@
 type Report struct {
 	// Document is nil if there are faults.
 	Document *Document
-	// Faults and Warnings are sorted by section and line and hold at most
-	// MaxFaults entries each.
+	// Faults and Warnings are sorted by section and line and bounded.
 	Faults   []Fault
 	Warnings []Fault
-	// OmittedFaults counts the faults beyond MaxFaults.
+	// OmittedFaults counts the faults beyond the bound.
 	OmittedFaults int
 }
 
--- a/internal/ctl/lead/key.go
+++ b/internal/ctl/lead/key.go
@@ -58,7 +58,12 @@
 	if err := files.Create(base+keySuffix, block, 0o600); err != nil {
 		return err
 	}
-	return files.Create(base+pubSuffix, []byte(base64.StdEncoding.EncodeToString(k.Public())+"\n"), 0o644)
+	if err := files.Create(base+pubSuffix, []byte(base64.StdEncoding.EncodeToString(k.Public())+"\n"), 0o644); err != nil {
+		// Half a pair is of no use, and would block the next attempt.
+		_ = os.Remove(base + keySuffix)
+		return err
+	}
+	return nil
 }
 
 // LoadKey reads a private key file. It refuses files that others may read.
