--- a/cmd/fpctl/app_test.go
+++ b/cmd/fpctl/app_test.go
@@ -5,6 +5,8 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -164,6 +166,11 @@
 	b := newBench(t)
 	b.keys()
 	b.run(ctl.ExitFailure, "keygen --lead product --out product")
+	b.put("half.pub", "")
+	b.run(ctl.ExitFailure, "keygen --lead product --out half")
+	if _, err := os.Stat("half.key"); err == nil {
+		t.Error("a failed keygen left half a pair")
+	}
 	info, err := os.Stat("product.key")
 	if err != nil || info.Mode().Perm() != 0o600 {
 		t.Fatalf("key file: %v, %v", info.Mode(), err)
@@ -217,6 +224,24 @@
 	b.run(ctl.ExitRefused, "check folder")
 }
 
+// Guards against commands and exit codes that docs/cli.md leaves out.
+func TestCommandsAreDocumented(t *testing.T) {
+	raw, err := os.ReadFile("../../docs/cli.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name := range newApp(io.Discard, io.Discard).actions {
+		if !strings.Contains(string(raw), "| `"+name) {
+			t.Errorf("command %s is not documented", name)
+		}
+	}
+	for code := ctl.ExitOK; code <= ctl.ExitFleet; code++ {
+		if !strings.Contains(string(raw), fmt.Sprintf("| %d |", code)) {
+			t.Errorf("exit code %d is not documented", code)
+		}
+	}
+}
+
 // Guards against output that tools cannot decode and against wrong exit codes
 // for mistakes on the command line.
 func TestOutputForTools(t *testing.T) {
@@ -225,6 +250,10 @@
 	b.run(ctl.ExitUsage, "nonsense")
 	b.run(ctl.ExitFailure, "check missing")
 	b.run(ctl.ExitRefused, "status")
+	b.put("settings.jsonc", `{"vm": 1}`)
+	if out, _ := b.run(ctl.ExitInvalid, "check-settings settings.jsonc"); !strings.Contains(out, "/vm: wrong-type") {
+		t.Errorf("settings: %s", out)
+	}
 	b.put("bad.jsonc", "{\n")
 	out, errs := b.run(ctl.ExitInvalid, "--output json check bad.jsonc")
 	var result ctl.CheckResult
--- a/config/check_test.go
+++ b/config/check_test.go
@@ -6,6 +6,7 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -184,12 +185,17 @@
 	if len(r.Faults) != config.MaxFaults || r.OmittedFaults == 0 {
 		t.Fatalf("%d faults, %d omitted", len(r.Faults), r.OmittedFaults)
 	}
+	var invalid *config.InvalidDocumentError
+	if _, err := config.Compile([]config.Section{section(raw)}); !errors.As(err, &invalid) || len(invalid.Faults) != config.MaxKeptFaults ||
+		invalid.Omitted != r.OmittedFaults+config.MaxFaults-config.MaxKeptFaults {
+		t.Errorf("Compile keeps %d faults and omits %d", len(invalid.Faults), invalid.Omitted)
+	}
 	if text := r.Err().Error(); len(text) > 10_000 || !strings.Contains(text, "more") {
 		t.Errorf("error text of %d bytes", len(text))
 	}
 }
 
-// Guards against a rule that no case covers.
+// Guards against a rule that no case covers or that docs/cli.md leaves out.
 func TestEveryRuleHasACase(t *testing.T) {
 	source, err := parser.ParseFile(token.NewFileSet(), "rules.go", nil, 0)
 	if err != nil {
@@ -199,6 +205,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	page, err := os.ReadFile("../docs/cli.md")
+	if err != nil {
+		t.Fatal(err)
+	}
 	var covered strings.Builder
 	ast.Inspect(test, func(n ast.Node) bool {
 		if lit, ok := n.(*ast.BasicLit); ok {
@@ -210,6 +220,8 @@
 		if lit, ok := n.(*ast.BasicLit); ok {
 			if rule, _ := strconv.Unquote(lit.Value); !strings.Contains(covered.String(), " "+rule+`"`) {
 				t.Errorf("rule %q has no case", rule)
+			} else if !strings.Contains(string(page), "`"+rule+"`") {
+				t.Errorf("rule %q is not documented", rule)
 			}
 		}
 		return true
