Refuse calls that would delay waiting calls past their targets

Cause: in an urgent flood calls with earlier deadlines (retries, calls from other regions) kept entering the queue and pushed all accepted calls past their target. Change: a call is also refused if it makes the last waiting call late; a call past its target gives way to calls behind it; a busy region sends a call to another one only if half of its target remains.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -89,19 +89,33 @@
 	return table.byName[rank.Name]
 }
 
-// checkDue refuses a call that cannot be useful behind the calls before it.
+// checkDue refuses a call that cannot be useful behind the calls before it, or
+// that would make a call late which already waits. Without the second check
+// calls with earlier deadlines keep coming in during a flood and delay all
+// accepted ones past their targets.
 func (g *Gate) checkDue(now time.Time, t *Ticket) error {
 	due := t.due()
 	if due.IsZero() {
 		return nil
 	}
-	urgent := 0
-	for _, e := range g.table.Load().ordered {
+	table, urgent := g.table.Load(), 0
+	for _, e := range table.ordered {
 		if e.rank.Order < t.entry.rank.Order {
 			urgent += int(e.queue.length.Load())
 		}
 	}
-	service, wait := g.ledger.forecast(now, t.entry, urgent, t.entry.queue.position(t))
+	before, length, last := t.entry.queue.position(t)
+	if err := g.checkPlace(now, table, t, urgent, before, due); err != nil {
+		return err
+	}
+	if last == nil || last.due().IsZero() {
+		return nil
+	}
+	return g.checkPlace(now, table, t, urgent, length, last.due())
+}
+
+func (g *Gate) checkPlace(now time.Time, table *rankTable, t *Ticket, urgent, same int, due time.Time) error {
+	service, wait := g.ledger.forecast(now, table, t.entry, urgent, same)
 	if over := now.Add(wait + service).Sub(due); over > 0 {
 		return &LateError{Rank: t.Rank.Name, Wait: wait, Service: service, Over: over}
 	}
@@ -175,13 +189,18 @@
 	}
 }
 
-// expired refuses a waiting call that could only end after its deadline.
+// expired refuses a waiting call that could only end after its deadline, or
+// after its target while calls wait behind it that can still meet theirs.
 func (g *Gate) expired(now time.Time, t *Ticket) error {
-	if t.Deadline.IsZero() {
+	limit := t.Deadline
+	if !t.entry.idle() {
+		limit = t.due()
+	}
+	if limit.IsZero() {
 		return nil
 	}
-	service, _ := g.ledger.forecast(now, t.entry, 0, 0)
-	if over := now.Add(service).Sub(t.Deadline); over > 0 {
+	service, _ := g.ledger.forecast(now, g.table.Load(), t.entry, 0, 0)
+	if over := now.Add(service).Sub(limit); over > 0 {
 		return &LateError{Rank: t.Rank.Name, Service: service, Over: over}
 	}
 	return nil
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -95,8 +95,9 @@
 }
 
 // forecast returns the expected service time of a rank and the expected wait
-// behind a number of more urgent calls and of calls of the same rank.
-func (l *ledger) forecast(now time.Time, e *rankEntry, urgent, same int) (service, wait time.Duration) {
+// behind a number of more urgent calls and of calls of the same rank. The
+// floors of other ranks with work are not available to the rank.
+func (l *ledger) forecast(now time.Time, table *rankTable, e *rankEntry, urgent, same int) (service, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	service = e.account.service.estimate(now)
@@ -105,7 +106,7 @@
 		return service, 0
 	}
 	per := float64(service)
-	byOrder := per * float64(urgent+same+1) / slots
+	byOrder := per * float64(urgent+same+1) / (slots * (1 - table.floorsBeside(e)))
 	if e.rank.Floor > 0 {
 		byFloor := per * float64(same+1) / (slots * e.rank.Floor)
 		byOrder = min(byOrder, byFloor)
--- a/internal/admission/rank_queue.go
+++ b/internal/admission/rank_queue.go
@@ -17,11 +17,16 @@
 	length atomic.Int64
 }
 
-// position returns the number of tickets that go before t.
-func (q *rankQueue) position(t *Ticket) int {
+// position returns the number of tickets that go before t, and the last ticket
+// if it goes after t.
+func (q *rankQueue) position(t *Ticket) (before, length int, last *Ticket) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.search(t)
+	before, length = q.search(t), len(q.tickets)
+	if before < length {
+		last = q.tickets[length-1]
+	}
+	return before, length, last
 }
 
 func (q *rankQueue) search(t *Ticket) int {
--- a/internal/admission/rank_table.go
+++ b/internal/admission/rank_table.go
@@ -66,6 +66,21 @@
 	return false
 }
 
+// floorsBeside returns the sum of the floors of less urgent ranks than e that
+// have waiting calls; more urgent calls are counted in full by their number.
+func (t *rankTable) floorsBeside(e *rankEntry) float64 {
+	sum := 0.0
+	for _, other := range t.ordered {
+		if other.rank.Order > e.rank.Order && !other.idle() {
+			sum += other.rank.Floor
+		}
+	}
+	return min(sum, maxFloorsBeside)
+}
+
+// maxFloorsBeside keeps a forecast finite when the floors leave nothing.
+const maxFloorsBeside = 0.95
+
 // sameRanks reports whether the table was made from these ranks.
 func (t *rankTable) sameRanks(ranks []*config.Rank) bool {
 	for _, r := range ranks {
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -42,9 +42,13 @@
 	if t.Rank.TargetMs <= 0 {
 		return t.Deadline
 	}
-	target := t.arrived.Add(time.Duration(t.Rank.TargetMs) * time.Millisecond)
+	target := t.arrived.Add(time.Duration(targetShare * float64(t.Rank.TargetMs) * float64(time.Millisecond)))
 	if t.Deadline.IsZero() || target.Before(t.Deadline) {
 		return target
 	}
 	return t.Deadline
 }
+
+// targetShare is the part of the target that queue and service may take. The
+// rest covers the way to and from the caller and the spread of service times.
+const targetShare = 0.75
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -92,6 +92,11 @@
 	}
 	price := p.options.RegionPrice
 	if busy {
+		// A flood is rarely in one region only: at least half of the target
+		// must remain for queue and service there.
+		if q.Target > 0 && 2*p.options.RegionRoundTrip > q.Target {
+			return false
+		}
 		price *= p.options.BusyFactor
 	}
 	bytes := q.Bytes
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -17,8 +17,10 @@
 	Exclude map[string]bool
 	// Worth is the worth of the call's rank.
 	Worth float64
-	// Bytes is the expected size of request and response together. Zero uses
-	// the mean of the service's observed answers.
+	// Target is the latency that the call should meet; zero if unknown.
+	Target time.Duration
+	// Bytes is the expected size of request and response together; zero if
+	// unknown.
 	Bytes int64
 	// Deadline is when the caller no longer needs an answer; zero means never.
 	Deadline time.Time
