Count refused calls by rank in routing

Cause: refusals of a flood of the least urgent rank marked the near upstreams busy for urgent calls too; half of the urgent calls went to another region (p50 75 ms). Change: refused share per rank class in a belief; Query.Order and Result.Order name the rank.

--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -110,7 +110,7 @@
 	now := time.Now()
 	d, err := s.picker.Pick(now, routing.Query{
 		View: s.control.Table().View(now), Self: self, Service: service.Selector,
-		Worth: x.call.Rank.Worth, Target: time.Duration(x.call.Rank.TargetMs) * time.Millisecond, Deadline: x.call.Deadline, Rand: rng,
+		Order: x.call.Rank.Order, Worth: x.call.Rank.Worth, Target: time.Duration(x.call.Rank.TargetMs) * time.Millisecond, Deadline: x.call.Deadline, Rand: rng,
 	})
 	if err != nil {
 		return call.NewProblem(call.ProblemNoUpstream, call.RanNo, err.Error(), err)
--- a/internal/routing/assessment.go
+++ b/internal/routing/assessment.go
@@ -32,8 +32,8 @@
 	defer s.mu.Unlock()
 	b := s.get(m.VM)
 	b.sync(now, m.Boot)
-	a.state = b.state(now, p.options)
-	a.expected = b.expected(now, p.options)
+	a.state = b.state(now, q.Order, p.options)
+	a.expected = b.expected(now, q.Order, p.options)
 	a.ramp = b.ramp(now, p.options)
 	if m.Status == member.Suspect && a.state != stateLeaving {
 		a.state = stateSuspect
--- a/internal/routing/belief.go
+++ b/internal/routing/belief.go
@@ -19,8 +19,7 @@
 
 	latency   float64 // moving mean in seconds of answered calls
 	latencyAt time.Time
-	refused   float64 // moving share of refused calls
-	refusedAt time.Time
+	refused   [rankClasses]refusedShare
 
 	failures  int // consecutive failed or silent calls
 	failedAt  time.Time
@@ -38,11 +37,6 @@
 	// latencyWeight is the weight of a new sample; about the last 8 calls
 	// count, so that a slow upstream loses calls within tens of calls.
 	latencyWeight = 1.0 / 8
-	// refusedWeight is the weight of one call in the refused share.
-	refusedWeight = 1.0 / 8
-	// refusedHalfLife lets a refused share fade without calls, so that an
-	// upstream whose flood has ended is tried again.
-	refusedHalfLife = 500 * time.Millisecond
 	// busyShare is the refused share from which an upstream counts as busy.
 	busyShare = 0.5
 	// latencyHalfLife and failedHalfLife age own observations, so that an
@@ -76,7 +70,7 @@
 	b.touched = now
 }
 
-func (b *belief) state(now time.Time, o Options) state {
+func (b *belief) state(now time.Time, order int, o Options) state {
 	if !b.leavingAt.IsZero() && now.Sub(b.leavingAt) < leavingMemory {
 		return stateLeaving
 	}
@@ -89,7 +83,7 @@
 	if b.stalled(now, o) {
 		return stateSilent
 	}
-	if b.refusedShare(now) > busyShare {
+	if b.refused[rankClass(order)].at(now) > busyShare {
 		return stateBusy
 	}
 	return stateServing
@@ -108,19 +102,6 @@
 	return b.outstanding > 0 && now.Sub(b.progressAt) > limit
 }
 
-func (b *belief) refusedShare(now time.Time) float64 {
-	if b.refused == 0 {
-		return 0
-	}
-	return b.refused * fade(now.Sub(b.refusedAt), refusedHalfLife)
-}
-
-func (b *belief) observeRefused(now time.Time, refused float64) {
-	b.refused = b.refusedShare(now)
-	b.refused += refusedWeight * (refused - b.refused)
-	b.refusedAt = now
-}
-
 func (b *belief) observeLatency(now time.Time, d time.Duration) {
 	if b.latencyAt.IsZero() {
 		b.latency = d.Seconds()
@@ -163,7 +144,7 @@
 
 // expected returns the latency to expect in seconds. Own latency, outstanding
 // and refused calls weigh in full; the report's part fades with its age.
-func (b *belief) expected(now time.Time, o Options) float64 {
+func (b *belief) expected(now time.Time, order int, o Options) float64 {
 	base := unknownLatency.Seconds()
 	if b.latency > 0 {
 		base += (b.latency - base) * fade(now.Sub(b.latencyAt), latencyHalfLife)
@@ -178,7 +159,7 @@
 	}
 	cost := base * (1 + queue)
 	failed := float64(b.failures) * fade(now.Sub(b.failedAt), failedHalfLife)
-	cost *= 1 + refusedCost*b.refusedShare(now) + failedCost*failed
+	cost *= 1 + refusedCost*b.refused[rankClass(order)].at(now) + failedCost*failed
 	if !b.unhealthyAt.IsZero() && now.Sub(b.unhealthyAt) < unhealthyMemory {
 		cost *= unhealthyCost
 	}
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -47,10 +47,10 @@
 	case OutcomeAnswered:
 		b.succeed()
 		b.observeLatency(now, r.Latency)
-		b.observeRefused(now, 0)
+		b.refused[rankClass(r.Order)].observe(now, 0)
 	case OutcomeRefused:
 		b.succeed()
-		b.observeRefused(now, 1)
+		b.refused[rankClass(r.Order)].observe(now, 1)
 	case OutcomeLeaving:
 		b.leave(now, LeaveAnswer)
 	case OutcomeFailed:
--- a/internal/routing/picker_test.go
+++ b/internal/routing/picker_test.go
@@ -284,6 +284,24 @@
 	}
 }
 
+// Guards against urgent calls leaving their region because calls of the least
+// urgent rank are refused there during a flood.
+func TestPickerCountsRefusalsByRank(t *testing.T) {
+	w := newWorld(false, vm("x", "a1", warm), vm("far", "b1", warm))
+	w.query.Worth = 100
+	for range 100 {
+		w.picker.Finish(w.now, w.byVM["x"], Result{Outcome: OutcomeRefused, Order: 2})
+	}
+	w.query.Order = 2
+	if flooded := w.run(t, 1, func(string) Result { return Result{Outcome: OutcomeCanceled} }); flooded["far"] != 1 {
+		t.Errorf("least urgent rank: %v", flooded)
+	}
+	w.query.Order = 0
+	if urgent := w.run(t, 1, func(string) Result { return Result{Outcome: OutcomeCanceled} }); urgent["x"] != 1 {
+		t.Errorf("urgent rank: %v", urgent)
+	}
+}
+
 // BenchmarkPick measures a choice among 20 upstreams, the mean at 7,300
 // servers and 360 services.
 func BenchmarkPick(b *testing.B) {
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -15,6 +15,8 @@
 	Service string
 	// Exclude names VMs that were already tried for this call.
 	Exclude map[string]bool
+	// Order is the order of the call's rank; refusals count by rank.
+	Order int
 	// Worth is the worth of the call's rank.
 	Worth float64
 	// Target is the latency that the call should meet; zero if unknown.
--- a/tools/benchflood/sender.go
+++ b/tools/benchflood/sender.go
@@ -60,7 +60,7 @@
 func (e *sender) route(f *flight) {
 	now := e.sim.time()
 	d, err := e.picker.Pick(now, routing.Query{
-		View: e.sim.view, Self: e.member, Service: e.sim.services[f.service], Exclude: f.tried,
+		View: e.sim.view, Self: e.member, Service: e.sim.services[f.service], Exclude: f.tried, Order: f.rank,
 		Worth: e.sim.deployment.ranks[f.rank].Worth, Target: e.sim.target(f.rank), Bytes: callBytes,
 		Deadline: f.deadline, Rand: e.rng,
 	})
@@ -102,7 +102,7 @@
 func (e *sender) ended(f *flight, a answer) {
 	now := e.sim.time()
 	e.picker.Finish(now, f.upstream.member, routing.Result{
-		Outcome: a.outcome, Latency: now.Sub(f.sent), Bytes: callBytes, Report: a.report,
+		Outcome: a.outcome, Order: f.rank, Latency: now.Sub(f.sent), Bytes: callBytes, Report: a.report,
 	})
 	if e.gates != nil {
 		e.endedLimited(now, f, a)
