Spill from a zone whose only upstream is cold

Cause: the ramp of a cold start only chose between upstreams of the same zone; with one upstream per zone and service the cold one got all calls of its zone. Change: with the probability that its ramp withholds, the call goes to the region (reason zone-cold).

--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -36,6 +36,11 @@
 		}
 	}
 	a := candidates.choose(q.Rand)
+	if scope == 0 && a.state == stateServing && f.serving[1].count > 0 && q.Rand.Float64() > a.ramp {
+		// The zone has no warm upstream to share with.
+		scope, reason, candidates = 1, ReasonZoneCold, &f.serving[1]
+		a = candidates.choose(q.Rand)
+	}
 	return Decision{
 		Member: a.member, Scope: scopes[scope], Reason: reason, Candidates: candidates.count, LeftOut: f.left,
 		Expected: time.Duration(a.expected * float64(time.Second)),
--- a/internal/routing/picker_test.go
+++ b/internal/routing/picker_test.go
@@ -120,8 +120,12 @@
 	}
 }
 
-func checkBoot(t *testing.T, random bool) error {
-	w := newWorld(random, vm("x", "a1", 0), vm("y", "a1", warm))
+func checkBoot(zoneOfOther string) func(t *testing.T, random bool) error {
+	return func(t *testing.T, random bool) error { return checkRamp(t, random, zoneOfOther) }
+}
+
+func checkRamp(t *testing.T, random bool, zoneOfOther string) error {
+	w := newWorld(random, vm("x", "a1", 0), vm("y", zoneOfOther, warm))
 	served := func(string) Result { return answered(10*time.Millisecond, nil) }
 	first := w.run(t, 200, served)
 	w.now = start.Add(20 * time.Second)
@@ -228,7 +232,8 @@
 		{"reports a high load", share(150, func() Result {
 			return answered(10*time.Millisecond, report(LoadReport{Running: 6, Waiting: 30, Slots: 6}))
 		})},
-		{"cold start", checkBoot},
+		{"cold start", checkBoot("a1")},
+		{"cold start of the only upstream in the zone", checkBoot("a2")},
 		{"leaving by the VM list", checkLeaving(LeaveVMList)},
 		{"leaving by an answer", checkLeaving(LeaveAnswer)},
 		{"leaving by the upstream", checkLeaving(LeaveUpstream)},
--- a/internal/routing/reason.go
+++ b/internal/routing/reason.go
@@ -13,6 +13,9 @@
 	ReasonZoneDown Reason = "zone-down"
 	// ReasonZoneBusy: the upstreams of the zone refuse calls.
 	ReasonZoneBusy Reason = "zone-busy"
+	// ReasonZoneCold: the upstream of the zone started recently and gets less
+	// than its share.
+	ReasonZoneCold Reason = "zone-cold"
 	// ReasonRegionDown: the region has no upstream in service and the call is
 	// worth its bytes between regions.
 	ReasonRegionDown Reason = "region-down"
