Keep floors when a flood begins; measure them per upstream

Cause: a rank that used free slots before a flood was in debt by up to one second of its floor and got 4 of the first 100 calls instead of 20 (TestGateKeepsFloorAfterIdleTime before the change). Change: a rank can be ahead by one service time only; benchflood measures floors per upstream while the rank has waiting calls there.

--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -102,6 +102,29 @@
 	}
 }
 
+// Guards against a rank that loses its floor when a flood begins, because it
+// used slots before that were free.
+func TestGateKeepsFloorAfterIdleTime(t *testing.T) {
+	b := newBench(Limits{Slots: 6, Connections: 110, Ranks: ranks})
+	step := func(steps int, rank *config.Rank) (served int) {
+		for range steps {
+			for b.gate.entry(rank).queue.length.Load() < 20 {
+				_, _ = b.submit(rank, time.Hour)
+			}
+			_, _ = b.submit(normal, time.Hour)
+			b.now = b.now.Add(20 * time.Millisecond / 6)
+			if b.finish().Rank == normal {
+				served++
+			}
+		}
+		return served
+	}
+	step(600, least)
+	if served := step(100, urgent); served < 18 {
+		t.Errorf("%d of the first 100 calls in a flood, the floor is 20", served)
+	}
+}
+
 // Guards against a floor that holds slots idle while its rank has no work.
 func TestGateUsesIdleFloors(t *testing.T) {
 	b := newBench(Limits{Slots: 6, Connections: 110, Ranks: ranks})
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -77,7 +77,7 @@
 	l.advancedAt = now
 	for _, e := range table.ordered {
 		if e.rank.Floor > 0 {
-			e.account.advance(e.rank.Floor*float64(l.limits.Slots), !e.idle(), table.anyWaiting(e), elapsed)
+			e.account.advance(now, e.rank.Floor*float64(l.limits.Slots), !e.idle(), table.anyWaiting(e), elapsed)
 		}
 	}
 }
--- a/internal/admission/rank_entry.go
+++ b/internal/admission/rank_entry.go
@@ -36,12 +36,14 @@
 // idle reports whether the rank has no waiting call.
 func (e *rankEntry) idle() bool { return e.queue.length.Load() == 0 }
 
-// creditLimit bounds the slot time that a rank can be behind or ahead of its
-// floor, in seconds of its floor. A longer memory makes a burst after a
-// shortage last longer.
+// creditLimit bounds the slot time that a rank can be behind its floor, in
+// seconds of its floor. A longer memory makes a burst after a shortage longer.
 const creditLimit = 1.0
 
-func (a *account) advance(floorSlots float64, waiting, contended bool, elapsed time.Duration) {
+// advance accounts for elapsed time. A rank can be ahead by one call only,
+// which keeps floors below one slot exact; repaying slots that were free
+// anyway would take the floor away when a flood begins.
+func (a *account) advance(now time.Time, floorSlots float64, waiting, contended bool, elapsed time.Duration) {
 	dt := elapsed.Seconds()
 	if waiting {
 		a.credit += floorSlots * dt
@@ -52,6 +54,6 @@
 	if !waiting && a.credit > 0 {
 		a.credit = 0
 	}
-	limit := creditLimit * floorSlots
-	a.credit = min(max(a.credit, -limit), limit)
+	ahead := a.service.estimate(now).Seconds()
+	a.credit = min(max(a.credit, -ahead), creditLimit*floorSlots)
 }
--- a/tools/benchflood/summary.go
+++ b/tools/benchflood/summary.go
@@ -5,7 +5,8 @@
 // summary is the least value of each measure over deployments and scenarios.
 type summary struct {
 	urgentInTarget, floorKept, usefulShare, fcfsUrgentInTarget float64
-	uncounted                                                  int
+	// uncounted is the number of runs in which a measure could not be counted.
+	uncounted int
 }
 
 func summarize(results []*result) summary {
@@ -18,6 +19,9 @@
 		case policyNode:
 			s.urgentInTarget = min(s.urgentInTarget, r.stats.urgentInTarget())
 			s.floorKept = min(s.floorKept, r.stats.floorKept())
+			if r.stats.floorKept() < 0 {
+				s.uncounted++
+			}
 			s.usefulShare = min(s.usefulShare, r.stats.usefulShare())
 		case policyFCFS:
 			s.fcfsUrgentInTarget = min(s.fcfsUrgentInTarget, r.stats.urgentInTarget())
--- a/tools/benchflood/upstream.go
+++ b/tools/benchflood/upstream.go
@@ -20,6 +20,7 @@
 	waiting map[*admission.Ticket]*flight
 	queue   []*flight
 	running int
+	floors  floorMeter
 }
 
 func newUpstream(s *sim, index, service int, m member.Member, h health) *upstream {
@@ -33,6 +34,7 @@
 func (u *upstream) settle(t *admission.Ticket, err error) {
 	f := u.waiting[t]
 	delete(u.waiting, t)
+	u.floors.wait(u.sim, f.rank, -1)
 	if err != nil {
 		u.answer(f, routing.OutcomeRefused)
 		return
@@ -51,6 +53,7 @@
 		u.run(f)
 	case u.running+len(u.queue) < u.sim.deployment.connections:
 		u.queue = append(u.queue, f)
+		u.floors.wait(u.sim, f.rank, 1)
 	default:
 		u.answer(f, routing.OutcomeRefused)
 	}
@@ -62,6 +65,7 @@
 func (u *upstream) submit(f *flight) {
 	f.atNode = &admission.Ticket{Rank: u.sim.deployment.ranks[f.rank], Deadline: f.deadline}
 	u.waiting[f.atNode] = f
+	u.floors.wait(u.sim, f.rank, 1)
 	granted, err := u.gate.Submit(u.sim.time(), f.atNode)
 	if err != nil || granted {
 		u.settle(f.atNode, err)
@@ -70,6 +74,7 @@
 
 func (u *upstream) run(f *flight) {
 	u.running++
+	u.floors.run(u.sim, f.rank, 1)
 	u.sim.overSlots = u.sim.overSlots || u.running > u.sim.deployment.slots
 	mean := u.sim.deployment.services[u.service]
 	// Service times are spread evenly from half to one and a half of the mean.
@@ -80,6 +85,7 @@
 
 func (u *upstream) finish(f *flight) {
 	u.running--
+	u.floors.run(u.sim, f.rank, -1)
 	u.sim.stats.worked(f, time.Duration(u.sim.now))
 	if u.gate != nil {
 		u.gate.Release(u.sim.time(), f.atNode)
@@ -94,6 +100,7 @@
 	for len(u.queue) > 0 {
 		f := u.queue[0]
 		u.queue = u.queue[1:]
+		u.floors.wait(u.sim, f.rank, -1)
 		if u.sim.time().Before(f.deadline) {
 			u.run(f)
 			return
