--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -56,7 +56,7 @@
 		if first == nil {
 			first = e
 		}
-		if e.rank.Floor <= 0 || e.account.credit <= 0 {
+		if e.rank.Floor <= 0 || e.account.credit <= 0 || float64(e.account.running) >= l.floorSlots(e) {
 			continue
 		}
 		if behind := e.account.credit / e.rank.Floor; behind > most {
@@ -69,6 +69,10 @@
 	return first
 }
 
+// floorSlots is a rank's floor in slots. A floor that is not a whole number is
+// kept on average: the rank runs one more call while its credit is positive.
+func (l *ledger) floorSlots(e *rankEntry) float64 { return e.rank.Floor * float64(l.limits.Slots) }
+
 func (l *ledger) advance(now time.Time, table *rankTable) {
 	elapsed := now.Sub(l.advancedAt)
 	if l.advancedAt.IsZero() || elapsed < 0 {
@@ -77,7 +81,7 @@
 	l.advancedAt = now
 	for _, e := range table.ordered {
 		if e.rank.Floor > 0 {
-			e.account.advance(now, e.rank.Floor*float64(l.limits.Slots), !e.idle(), table.anyWaiting(e), elapsed)
+			e.account.advance(now, l.floorSlots(e), !e.idle(), table.anyWaiting(e), elapsed)
 		}
 	}
 }
