Assess members of the view in place

Cause: Pick copied each member record several times. Change: assessments point into the immutable view, and fading is computed only for upstreams with failures. Conclusion: behaviour is unchanged, the tests of the package pass with -race.

--- a/internal/routing/assessment.go
+++ b/internal/routing/assessment.go
@@ -8,13 +8,14 @@
 
 // assessment is the node's view of one candidate at one moment.
 type assessment struct {
-	member   member.Member
+	// member points into the view, which is immutable.
+	member   *member.Member
 	state    state
 	expected float64
 	ramp     float64
 }
 
-func (p *Picker) assess(now time.Time, q *Query, m member.Member) assessment {
+func (p *Picker) assess(now time.Time, q *Query, m *member.Member) assessment {
 	a := assessment{member: m}
 	switch {
 	case m.Status == member.Leaving:
--- a/internal/routing/belief.go
+++ b/internal/routing/belief.go
@@ -158,7 +158,10 @@
 		}
 	}
 	cost := base * (1 + queue)
-	failed := float64(b.failures) * fade(now.Sub(b.failedAt), failedHalfLife)
+	failed := 0.0
+	if b.failures > 0 {
+		failed = float64(b.failures) * fade(now.Sub(b.failedAt), failedHalfLife)
+	}
 	cost *= 1 + refusedCost*b.refused[rankClass(order)].at(now) + failedCost*failed
 	if !b.unhealthyAt.IsZero() && now.Sub(b.unhealthyAt) < unhealthyMemory {
 		cost *= unhealthyCost
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -25,8 +25,10 @@
 // the call and Finish when it ends.
 func (p *Picker) Pick(now time.Time, q Query) (Decision, error) {
 	var f field
-	for _, m := range q.View.Service(q.Service) {
-		f.add(scopeIndex(q.Self, m), p.assess(now, &q, m), q.Rand)
+	all := q.View.Service(q.Service)
+	for i := range all {
+		m := &all[i]
+		f.add(scopeIndex(&q.Self, m), p.assess(now, &q, m), q.Rand)
 	}
 	scope, reason, candidates := p.order(now, &q, &f)
 	if candidates == nil {
@@ -42,7 +44,7 @@
 		a = candidates.choose(q.Rand)
 	}
 	return Decision{
-		Member: a.member, Scope: scopes[scope], Reason: reason, Candidates: candidates.count, LeftOut: f.left,
+		Member: *a.member, Scope: scopes[scope], Reason: reason, Candidates: candidates.count, LeftOut: f.left,
 		Expected: time.Duration(a.expected * float64(time.Second)),
 	}, nil
 }
--- a/internal/routing/picker_test.go
+++ b/internal/routing/picker_test.go
@@ -21,7 +21,8 @@
 	var byScope [3][]member.Member
 	for _, m := range q.View.Service(q.Service) {
 		if m.Status != member.Leaving && m.Status != member.Suspect && !q.Exclude[m.VM] && m.Boot != 0 {
-			byScope[scopeIndex(q.Self, m)] = append(byScope[scopeIndex(q.Self, m)], m)
+			scope := scopeIndex(&q.Self, &m)
+			byScope[scope] = append(byScope[scope], m)
 		}
 	}
 	for i, scope := range scopes {
--- a/internal/routing/scope.go
+++ b/internal/routing/scope.go
@@ -14,7 +14,7 @@
 
 var scopes = [...]Scope{ScopeZone, ScopeRegion, ScopeRemote}
 
-func scopeIndex(self, m member.Member) int {
+func scopeIndex(self, m *member.Member) int {
 	switch {
 	case m.Region != self.Region:
 		return 2
