--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: build format vet staticcheck test demo bench-call clean
+.PHONY: build format vet staticcheck test demo bench-call bench-flood clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./tools/...
@@ -30,5 +30,10 @@
 bench-call: build
 	$(BIN)/benchcall --bin $(BIN)
 
+# The time series go to bin/bench-flood.csv.
+bench-flood:
+	go build -o $(BIN)/ ./tools/benchflood
+	$(BIN)/benchflood --csv $(BIN)/bench-flood.csv
+
 clean:
 	rm -rf $(BIN)
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -79,7 +79,8 @@
 	now := time.Now()
 	d, err := s.picker.Pick(now, routing.Query{
 		View: s.control.Table().View(now), Self: s.control.Self(), Service: service.Selector, Exclude: tried,
-		Worth: x.call.Rank.Worth, Deadline: x.call.Deadline, Rand: rng,
+		Order: x.call.Rank.Order, Worth: x.call.Rank.Worth, Deadline: x.call.Deadline,
+		Target: time.Duration(x.call.Rank.TargetMs) * time.Millisecond, Rand: rng,
 	})
 	if err != nil {
 		return d, call.NewProblem(call.ProblemNoUpstream, call.RanNo, err.Error(), err)
--- a/internal/routing/assessment.go
+++ b/internal/routing/assessment.go
@@ -8,13 +8,14 @@
 
 // assessment is the node's view of one candidate at one moment.
 type assessment struct {
-	member   member.Member
+	// member points into the view, which is immutable.
+	member   *member.Member
 	state    state
 	expected float64
 	ramp     float64
 }
 
-func (p *Picker) assess(now time.Time, q *Query, m member.Member) assessment {
+func (p *Picker) assess(now time.Time, q *Query, m *member.Member) assessment {
 	a := assessment{member: m}
 	switch {
 	case m.Status == member.Leaving:
@@ -32,8 +33,8 @@
 	defer s.mu.Unlock()
 	b := s.get(m.VM)
 	b.sync(now, m.Boot)
-	a.state = b.state(now, p.options)
-	a.expected = b.expected(now, p.options)
+	a.state = b.state(now, q.Order, p.options)
+	a.expected = b.expected(now, q.Order, p.options)
 	a.ramp = b.ramp(now, p.options)
 	if m.Status == member.Suspect && a.state != stateLeaving {
 		a.state = stateSuspect
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -25,8 +25,10 @@
 // the call and Finish when it ends.
 func (p *Picker) Pick(now time.Time, q Query) (Decision, error) {
 	var f field
-	for _, m := range q.View.Service(q.Service) {
-		f.add(scopeIndex(q.Self, m), p.assess(now, &q, m), q.Rand)
+	all := q.View.Service(q.Service)
+	for i := range all {
+		m := &all[i]
+		f.add(scopeIndex(&q.Self, m), p.assess(now, &q, m), q.Rand)
 	}
 	scope, reason, candidates := p.order(now, &q, &f)
 	if candidates == nil {
@@ -36,8 +38,13 @@
 		}
 	}
 	a := candidates.choose(q.Rand)
+	if scope == 0 && a.state == stateServing && f.serving[1].count > 0 && q.Rand.Float64() > a.ramp {
+		// The zone has no warm upstream to share with.
+		scope, reason, candidates = 1, ReasonZoneCold, &f.serving[1]
+		a = candidates.choose(q.Rand)
+	}
 	return Decision{
-		Member: a.member, Scope: scopes[scope], Reason: reason, Candidates: candidates.count, LeftOut: f.left,
+		Member: *a.member, Scope: scopes[scope], Reason: reason, Candidates: candidates.count, LeftOut: f.left,
 		Expected: time.Duration(a.expected * float64(time.Second)),
 	}, nil
 }
@@ -92,6 +99,11 @@
 	}
 	price := p.options.RegionPrice
 	if busy {
+		// A flood is rarely in one region only: at least half of the target
+		// must remain for queue and service there.
+		if q.Target > 0 && 2*p.options.RegionRoundTrip > q.Target {
+			return false
+		}
 		price *= p.options.BusyFactor
 	}
 	bytes := q.Bytes
--- a/internal/routing/picker_test.go
+++ b/internal/routing/picker_test.go
@@ -21,7 +21,8 @@
 	var byScope [3][]member.Member
 	for _, m := range q.View.Service(q.Service) {
 		if m.Status != member.Leaving && m.Status != member.Suspect && !q.Exclude[m.VM] && m.Boot != 0 {
-			byScope[scopeIndex(q.Self, m)] = append(byScope[scopeIndex(q.Self, m)], m)
+			scope := scopeIndex(&q.Self, &m)
+			byScope[scope] = append(byScope[scope], m)
 		}
 	}
 	for i, scope := range scopes {
@@ -120,8 +121,12 @@
 	}
 }
 
-func checkBoot(t *testing.T, random bool) error {
-	w := newWorld(random, vm("x", "a1", 0), vm("y", "a1", warm))
+func checkBoot(zoneOfOther string) func(t *testing.T, random bool) error {
+	return func(t *testing.T, random bool) error { return checkRamp(t, random, zoneOfOther) }
+}
+
+func checkRamp(t *testing.T, random bool, zoneOfOther string) error {
+	w := newWorld(random, vm("x", "a1", 0), vm("y", zoneOfOther, warm))
 	served := func(string) Result { return answered(10*time.Millisecond, nil) }
 	first := w.run(t, 200, served)
 	w.now = start.Add(20 * time.Second)
@@ -228,7 +233,8 @@
 		{"reports a high load", share(150, func() Result {
 			return answered(10*time.Millisecond, report(LoadReport{Running: 6, Waiting: 30, Slots: 6}))
 		})},
-		{"cold start", checkBoot},
+		{"cold start", checkBoot("a1")},
+		{"cold start of the only upstream in the zone", checkBoot("a2")},
 		{"leaving by the VM list", checkLeaving(LeaveVMList)},
 		{"leaving by an answer", checkLeaving(LeaveAnswer)},
 		{"leaving by the upstream", checkLeaving(LeaveUpstream)},
@@ -284,6 +290,24 @@
 	}
 }
 
+// Guards against urgent calls leaving their region because calls of the least
+// urgent rank are refused there during a flood.
+func TestPickerCountsRefusalsByRank(t *testing.T) {
+	w := newWorld(false, vm("x", "a1", warm), vm("far", "b1", warm))
+	w.query.Worth = 100
+	for range 100 {
+		w.picker.Finish(w.now, w.byVM["x"], Result{Outcome: OutcomeRefused, Order: 2})
+	}
+	w.query.Order = 2
+	if flooded := w.run(t, 1, func(string) Result { return Result{Outcome: OutcomeCanceled} }); flooded["far"] != 1 {
+		t.Errorf("least urgent rank: %v", flooded)
+	}
+	w.query.Order = 0
+	if urgent := w.run(t, 1, func(string) Result { return Result{Outcome: OutcomeCanceled} }); urgent["x"] != 1 {
+		t.Errorf("urgent rank: %v", urgent)
+	}
+}
+
 // BenchmarkPick measures a choice among 20 upstreams, the mean at 7,300
 // servers and 360 services.
 func BenchmarkPick(b *testing.B) {
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -15,10 +15,14 @@
 	Service string
 	// Exclude names VMs that were already tried for this call.
 	Exclude map[string]bool
+	// Order is the order of the call's rank; refusals count by rank.
+	Order int
 	// Worth is the worth of the call's rank.
 	Worth float64
-	// Bytes is the expected size of request and response together. Zero uses
-	// the mean of the service's observed answers.
+	// Target is the latency that the call should meet; zero if unknown.
+	Target time.Duration
+	// Bytes is the expected size of request and response together; zero if
+	// unknown.
 	Bytes int64
 	// Deadline is when the caller no longer needs an answer; zero means never.
 	Deadline time.Time
