Stop nodes without losing calls

Ruled out: waiting longer before the listener closes; the reset and the EOF happen at the instant of closing. Change: a stopping node closes connections after each answer, announces that it leaves, then accepts what the kernel holds, shuts the listening socket and waits until no connection is busy. Node.Close ends a node at once. A call that finds no upstream at all waits up to 240 ms, because a node that has just joined has an old view.

--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -48,15 +48,31 @@
 	return &p
 }
 
+// pick chooses an upstream that was not tried. If none is known at all it waits
+// for a short time, because the view of the fleet lags behind the table: a node
+// that has just joined would refuse calls otherwise.
 func (s *Server) pick(x *exchange, tried map[string]bool) (routing.Decision, error) {
 	service, ok := x.snap.Document.Service(x.call.Route.Service)
 	s.cfg.Invariants.Check(ok, "route-service", "route %s points at unknown service %s", x.call.Route.Name, x.call.Route.Service)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	d, err := s.picker.Pick(s.control.Table().View(time.Now()), s.control.Self(), service.Selector, tried, rng)
-	if err != nil {
-		return d, call.NewProblem(call.ProblemNoUpstream, call.RanNo, err.Error(), err)
+	for n := 1; ; n++ {
+		d, err := s.picker.Pick(s.control.Table().View(time.Now()), s.control.Self(), service.Selector, tried, rng)
+		if err == nil {
+			return d, nil
+		}
+		problem := call.NewProblem(call.ProblemNoUpstream, call.RanNo, err.Error(), err)
+		if len(tried) > 0 || n > viewWaits {
+			return d, problem
+		}
+		s.cfg.Decisions.Line("upstream-awaited", "route", x.call.Route.Name, "service", service.Name, "attempt", n)
+		timer := time.NewTimer(viewWait)
+		select {
+		case <-timer.C:
+		case <-x.base.Done():
+			timer.Stop()
+			return d, problem
+		}
 	}
-	return d, nil
 }
 
 func (s *Server) attempt(x *exchange, d routing.Decision) error {
--- a/internal/dataplane/limits.go
+++ b/internal/dataplane/limits.go
@@ -23,4 +23,8 @@
 	replayBytes = 64 << 10
 	// maxProblemBytes bounds the problem details read from another node.
 	maxProblemBytes = 16 << 10
+	// viewWait and viewWaits bound the wait of a call for a first upstream. A
+	// view of the fleet is rebuilt at most every 100 ms.
+	viewWait  = 120 * time.Millisecond
+	viewWaits = 2
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -30,6 +31,9 @@
 	// leaveNotice is how long a stopping node keeps accepting calls after it
 	// has announced that it leaves, so that senders learn of it first.
 	leaveNotice = time.Second
+	// spareGrace is how long a stopping node waits for the first request on a
+	// new connection.
+	spareGrace = 500 * time.Millisecond
 )
 
 // Node is a running node. Its methods are safe for concurrent use.
@@ -42,6 +46,9 @@
 	runtime    *runtime.Runtime
 	transport  *peer.Transport
 	server     *dataplane.Server
+	listener   *callListener
+	finishing  sync.Once
+	conns      *connTracker
 	calls      *http.Server
 	admin      *http.Server
 }
@@ -53,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, log: log, metrics: telemetry.NewMetrics()}
+	n := &Node{settings: s, log: log, metrics: telemetry.NewMetrics(), conns: newConnTracker()}
 	n.invariants = telemetry.NewInvariants(n.metrics, s.FatalInvariants)
 	boot := uint64(time.Now().UnixMilli())
 	n.agent = control.New(control.Config{
@@ -89,24 +96,32 @@
 		Invariants:   n.invariants,
 	}, controlAdapter{n.agent, n.runtime})
 	var err error
-	if n.calls, err = serve(n.settings.Listen.Calls, n.server); err != nil {
+	if n.listener, err = listen(n.settings.Listen.Calls); err != nil {
 		return err
 	}
-	if n.admin, err = serve(n.settings.Listen.Admin, admin.NewHandler(n, n.metrics.Registry)); err != nil {
+	n.calls = serve(n.listener, n.server, n.conns.note)
+	l, err := listen(n.settings.Listen.Admin)
+	if err != nil {
+		n.listener.finish()
 		_ = n.calls.Close()
 		return err
 	}
+	n.admin = serve(l.TCPListener, admin.NewHandler(n, n.metrics.Registry), nil)
 	return nil
 }
 
-func serve(addr string, h http.Handler) (*http.Server, error) {
+func listen(addr string) (*callListener, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, &ListenError{Addr: addr, Err: err}
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return newCallListener(l.(*net.TCPListener)), nil
+}
+
+func serve(l net.Listener, h http.Handler, state func(net.Conn, http.ConnState)) *http.Server {
+	s := &http.Server{Handler: h, ConnState: state, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go func() { _ = s.Serve(l) }()
-	return s, nil
+	return s
 }
 
 // Stop announces that the node leaves, lets calls in flight finish within the
@@ -124,12 +139,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
-	_ = n.calls.Shutdown(ctx)
+	n.finishing.Do(n.listener.finish)
+	n.calls.SetKeepAlivesEnabled(false)
+	n.conns.wait(ctx, spareGrace)
 	n.Close()
 }
 
 // Close ends the node at once, with the calls in flight.
 func (n *Node) Close() {
+	n.finishing.Do(n.listener.finish)
 	_ = n.calls.Close()
 	n.server.Close()
 	_ = n.admin.Close()
--- a/internal/testkit/nodes/cluster.go
+++ b/internal/testkit/nodes/cluster.go
@@ -46,7 +46,10 @@
 // nodes serve. The cluster ends with the test.
 func Start(tb testing.TB, spec Spec, upstream func(vm string) http.Handler) *Cluster {
 	tb.Helper()
-	c := &Cluster{tb: tb, spec: spec, log: hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: os.Stderr})}
+	c := &Cluster{tb: tb, spec: spec, log: hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(os.Getenv("FP_TEST_LOG")), Output: os.Stderr})}
+	if c.log.GetLevel() == hclog.NoLevel {
+		c.log.SetLevel(hclog.Error)
+	}
 	tb.Cleanup(c.stop)
 	c.layOut()
 	c.startPlatform()
