Tell silent connections from slow upstreams; refuse answers without a visible end

Cause: a call over a connection that went silent waited until its deadline; an answer delimited only by the end of the connection passes for whole when the upstream breaks; a caller that does not read held a slot without limit. Change: the upstream-side node sends 102 every 300 ms until the answer begins, the sender gives up after 1.5 s without one; each attempt between nodes carries an id that the answer repeats; answers need a length or chunks; writing to a caller ends at the deadline; an upstream may refuse a call with status 503 and Filbertpier-Ran: no.

--- a/internal/call/headers.go
+++ b/internal/call/headers.go
@@ -26,6 +26,8 @@
 	// HeaderOwner is set on answers that the owner of the idempotency key has
 	// decided; it holds the boot of the owner's process.
 	HeaderOwner = "Filbertpier-Owner"
+	// HeaderCall identifies one attempt between two nodes; the answer repeats it.
+	HeaderCall = "Filbertpier-Call"
 	// HeaderPrefix is shared by the headers that only nodes may set on answers.
 	HeaderPrefix = "Filbertpier-"
 )
--- a/internal/dataplane/forward.go
+++ b/internal/dataplane/forward.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return err
 	}
+	if p := upstreamRefusal(resp); p != nil {
+		return p
+	}
 	return s.copyAnswer(ctx, x, resp)
 }
 
@@ -55,16 +58,6 @@
 	return s.copyAnswer(ctx, x, resp)
 }
 
-func (s *Server) sendToPeer(ctx context.Context, x *exchange, to member.Member) (*http.Response, error) {
-	req := s.outgoing(ctx, x, to.CallAddr)
-	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
-	req.Header.Set(call.HeaderTarget, to.VM)
-	if !x.call.Route.Idempotent {
-		req.Header.Set(call.HeaderExpires, strconv.FormatInt(x.call.Deadline.UnixMilli(), 10))
-	}
-	return s.roundTrip(x, s.peers, req)
-}
-
 // outgoing copies the caller's request for the next hop.
 func (s *Server) outgoing(ctx context.Context, x *exchange, host string) *http.Request {
 	in := x.r
@@ -91,6 +84,12 @@
 // caller's connection, so that it is never taken for a whole one.
 func (s *Server) copyAnswer(ctx context.Context, x *exchange, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
+	if err := checkFraming(x, resp); err != nil {
+		return err
+	}
+	// A caller that does not read must not hold a slot beyond the deadline.
+	rc := http.NewResponseController(x.w)
+	_ = rc.SetWriteDeadline(x.call.Deadline)
 	h := x.w.Header()
 	for name, values := range resp.Header {
 		if !hopHeaders[name] && !strings.HasPrefix(name, call.HeaderPrefix) {
@@ -106,5 +105,6 @@
 	if _, err := io.CopyBuffer(writerOnly{x.w}, resp.Body, *buf); err != nil {
 		return failure(x, ctx, call.RanUnknown, err)
 	}
+	_ = rc.SetWriteDeadline(time.Time{})
 	return nil
 }
--- a/internal/dataplane/hop_headers.go
+++ b/internal/dataplane/hop_headers.go
@@ -2,9 +2,10 @@
 
 import "net/http"
 
-// hopHeaders belong to one connection (RFC 9110, section 7.6.1).
+// hopHeaders belong to one connection (RFC 9110, section 7.6.1). Expect is
+// answered by each node itself.
 var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
+	"Connection": true, "Expect": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
--- a/internal/dataplane/limits.go
+++ b/internal/dataplane/limits.go
@@ -27,4 +27,11 @@
 	// view of the fleet is rebuilt at most every 100 ms.
 	viewWait  = 120 * time.Millisecond
 	viewWaits = 2
+	// progressInterval is the time between informational responses to another
+	// node while its call waits or runs.
+	progressInterval = 300 * time.Millisecond
+	// silenceLimit is how long a connection to another node may be silent while
+	// it waits. Five intervals leave room for delays between regions and for a
+	// busy machine; a longer limit finds dead connections later.
+	silenceLimit = 5 * progressInterval
 )
--- /dev/null
+++ b/internal/dataplane/peer_round_trip.go
@@ -0,0 +1,66 @@
+package dataplane
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/member"
+)
+
+// sendToPeer sends a call to another node and returns the answer to that call.
+// It gives up when the connection goes silent. It returns a *call.Problem.
+func (s *Server) sendToPeer(ctx context.Context, x *exchange, to member.Member) (*http.Response, error) {
+	watched, cancel := context.WithCancelCause(ctx)
+	silent := time.AfterFunc(time.Hour, func() {
+		cancel(&SilentConnectionError{Addr: to.CallAddr, Limit: silenceLimit})
+	})
+	defer silent.Stop()
+	watched = httptrace.WithClientTrace(watched, &httptrace.ClientTrace{
+		// The limit counts from here, since dialling has a limit of its own.
+		GotConn: func(httptrace.GotConnInfo) { silent.Reset(silenceLimit) },
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			silent.Reset(silenceLimit)
+			return nil
+		},
+	})
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	req := s.outgoing(watched, x, to.CallAddr)
+	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
+	req.Header.Set(call.HeaderTarget, to.VM)
+	req.Header.Set(call.HeaderCall, id)
+	if !x.call.Route.Idempotent {
+		req.Header.Set(call.HeaderExpires, strconv.FormatInt(x.call.Deadline.UnixMilli(), 10))
+	}
+	resp, err := s.roundTrip(x, s.peers, req)
+	if err != nil {
+		return nil, s.peerFailure(ctx, watched, to, err)
+	}
+	if resp.Header.Get(call.HeaderCall) != id {
+		// A connection whose answers are out of step must not be used again.
+		cancel(context.Canceled)
+		_ = resp.Body.Close()
+		s.cfg.Decisions.Line("answer-crossed", "route", x.call.Route.Name, "vm", to.VM)
+		return nil, call.NewProblem(call.ProblemUpstreamFailed, call.RanUnknown, "the answer belongs to another call", nil)
+	}
+	return resp, nil
+}
+
+// peerFailure tells a silent connection from a caller or a deadline that ended
+// the call. The other idle connections are closed with it, because they are
+// likely silent too and a new one costs 1 ms.
+func (s *Server) peerFailure(ctx, watched context.Context, to member.Member, err error) error {
+	var silent *SilentConnectionError
+	if ctx.Err() != nil || !errors.As(context.Cause(watched), &silent) {
+		return err
+	}
+	s.peers.CloseIdleConnections()
+	s.cfg.Decisions.Line("connection-silent", "vm", to.VM, "addr", to.CallAddr, "limit", silenceLimit.String())
+	return call.NewProblem(call.ProblemUpstreamFailed, call.RanUnknown, silent.Error(), silent)
+}
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -74,6 +74,12 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	if r.Header.Get(call.HeaderTarget) != "" {
+		p := newProgressWriter(w, progressInterval)
+		defer p.end()
+		p.Header().Set(call.HeaderCall, r.Header.Get(call.HeaderCall))
+		w = p
+	}
 	x := &exchange{w: w, r: r, base: r.Context()}
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
