Test silent connections, cut answers and large bodies

Cause: the answer path had no tests with faults. Change: a slow upstream (3 s) runs once, a silenced link is left within 4 s and a silenced owner is told as unknown; answers cut by length, by chunks or by closing are visible failures; 64 MB stream both ways in bounded memory.

--- /dev/null
+++ b/internal/dataplane/answer_test.go
@@ -0,0 +1,125 @@
+package dataplane_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/testkit/nodes"
+)
+
+// TestSilentConnectionIsNotASlowUpstream guards against waiting for the
+// deadline on a connection that went silent, and against giving up a call that
+// only takes long.
+func TestSilentConnectionIsNotASlowUpstream(t *testing.T) {
+	var runs atomic.Int64
+	s := spec("a", "b")
+	s.Links = true
+	c := nodes.Start(t, s, func(string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			runs.Add(1)
+			d, _ := time.ParseDuration(r.URL.Query().Get("work"))
+			timer := time.NewTimer(d)
+			defer timer.Stop()
+			<-timer.C
+			_, _ = io.WriteString(w, "done")
+		})
+	})
+	client, recall, entry := newClient(t), ofService(c, "recall"), ofService(c, "refunds")[0]
+	if r := send(client, entry.URL(), http.MethodPut, "/recall?work=3s", "x"); r.body != "done" || runs.Load() != 1 {
+		t.Errorf("slow upstream: %d runs, %+v", runs.Load(), r)
+	}
+	recall[0].Link.Silence(true)
+	start := time.Now()
+	if r := send(client, entry.URL(), http.MethodPut, "/recall", "x"); r.body != "done" || time.Since(start) > 4*time.Second {
+		t.Errorf("silent connection: after %v %+v", time.Since(start), r)
+	}
+	owner := ofService(c, "refunds")[0]
+	key := issueKey(t, client, owner.URL())
+	owner.Link.Silence(true)
+	r := send(client, recall[0].URL(), http.MethodPost, "/refunds", "x", call.HeaderIdempotencyKey, key)
+	if r.ran != call.RanUnknown || r.problem.Type != call.ProblemOutcomeUnknown {
+		t.Errorf("silent owner: %+v", r)
+	}
+}
+
+// breaking is an upstream that ends its answers early in several ways.
+func breaking(string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		rc := http.NewResponseController(w)
+		switch r.URL.Query().Get("how") {
+		case "length":
+			w.Header().Set("Content-Length", "1000")
+			_, _ = io.WriteString(w, "part")
+			_ = rc.Flush()
+			panic(http.ErrAbortHandler)
+		case "chunks":
+			_, _ = io.WriteString(w, "part")
+			_ = rc.Flush()
+			panic(http.ErrAbortHandler)
+		case "close":
+			conn, _, err := rc.Hijack()
+			if err != nil {
+				panic(err)
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+			_ = conn.Close()
+		case "refuse":
+			w.Header().Set(call.HeaderRan, string(call.RanNo))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// TestCutAnswersAreVisible guards against truncated answers that look whole, at
+// the node beside the upstream and at another one.
+func TestCutAnswersAreVisible(t *testing.T) {
+	c := nodes.Start(t, spec("a"), breaking)
+	client := newClient(t)
+	for _, v := range c.VMs {
+		for _, how := range []string{"length", "chunks", "close"} {
+			r := send(client, v.URL(), http.MethodPut, "/recall?how="+how, "x")
+			if r.err == nil && r.status < http.StatusInternalServerError {
+				t.Errorf("%s through %s: %+v", how, v.Settings.VM, r)
+			}
+		}
+		r := send(client, v.URL(), http.MethodPut, "/recall?how=refuse", "x")
+		if r.ran != call.RanNo || r.problem.Type != call.ProblemOverloaded || r.problem.RetryAfterMs == 0 {
+			t.Errorf("refused by the upstream, through %s: %+v", v.Settings.VM, r)
+		}
+	}
+}
+
+// TestLargeBodiesStream guards against holding bulky bodies in memory, and
+// against losing a part of a request while its answer has begun.
+func TestLargeBodiesStream(t *testing.T) {
+	const size = 64 << 20
+	c := nodes.Start(t, spec("a"), echo)
+	client := newClient(t)
+	for _, length := range []int64{size, -1} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		body := io.LimitReader(strings.NewReader(strings.Repeat("0123456789abcdef", size/16)), size)
+		req, _ := http.NewRequest(http.MethodPut, c.VMs[1].URL()+"/recall", body)
+		req.ContentLength = length
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		runtime.ReadMemStats(&after)
+		grown := after.TotalAlloc - before.TotalAlloc - size
+		if n != size || err != nil || grown > size/4 {
+			t.Errorf("length %d: %d of %d bytes, %v, %s allocated", length, n, size, err, fmt.Sprint(grown))
+		}
+	}
+}
--- a/internal/testkit/nodes/cluster.go
+++ b/internal/testkit/nodes/cluster.go
@@ -46,10 +46,11 @@
 // nodes serve. The cluster ends with the test.
 func Start(tb testing.TB, spec Spec, upstream func(vm string) http.Handler) *Cluster {
 	tb.Helper()
-	c := &Cluster{tb: tb, spec: spec, log: hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(os.Getenv("FP_TEST_LOG")), Output: os.Stderr})}
-	if c.log.GetLevel() == hclog.NoLevel {
-		c.log.SetLevel(hclog.Error)
+	level := hclog.LevelFromString(os.Getenv("FP_TEST_LOG"))
+	if level == hclog.NoLevel {
+		level = hclog.Error
 	}
+	c := &Cluster{tb: tb, spec: spec, log: hclog.New(&hclog.LoggerOptions{Level: level, Output: os.Stderr})}
 	tb.Cleanup(c.stop)
 	c.layOut()
 	c.startPlatform()
