Quarantine requests that crash upstreams

Cause: a request that crashes its upstream was retried on others and resent by its caller; it could take a service down. Ruled out: banning everything that ran during a crash, which bans healthy requests; reusing connections for suspects, where a stale connection looks like another crash. The fingerprint covers the path too, since requests without a body differ only there.

--- a/internal/dataplane/control.go
+++ b/internal/dataplane/control.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
@@ -17,4 +18,6 @@
 	Self() member.Member
 	// CatchUp asks peers for a version; it does not wait.
 	CatchUp(id snapshot.ID)
+	// Send sends a message to a node, at most once; it does not wait.
+	Send(to member.Member, m message.Message)
 }
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/snapshot"
@@ -32,16 +34,32 @@
 func (x *exchange) fingerprint() once.Fingerprint {
 	h := sha256.New()
 	var n [8]byte
-	for _, part := range []string{x.r.Method, x.r.URL.EscapedPath(), x.r.URL.RawQuery, string(x.body.head)} {
+	for _, part := range [][]byte{[]byte(x.r.Method), []byte(x.r.URL.EscapedPath()), []byte(x.r.URL.RawQuery), x.body.head} {
 		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
 		_, _ = h.Write(n[:])
-		_, _ = h.Write([]byte(part))
+		_, _ = h.Write(part)
 	}
 	binary.BigEndian.PutUint64(n[:], uint64(x.body.length))
 	_, _ = h.Write(n[:])
 	return once.Fingerprint(h.Sum(nil))
 }
 
+// poisonFingerprint identifies the request and its resent copies. It covers the
+// path as well as the route, since requests without a body differ only there.
+func (x *exchange) poisonFingerprint() [16]byte {
+	d := xxhash.New()
+	for _, part := range []string{x.call.Route.Name, x.call.Key, x.r.Method, x.r.URL.EscapedPath(), x.r.URL.RawQuery} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	var out [16]byte
+	binary.BigEndian.PutUint64(out[:8], d.Sum64())
+	d.ResetWithSeed(uint64(x.body.length))
+	_, _ = d.Write(x.body.head)
+	binary.BigEndian.PutUint64(out[8:], d.Sum64())
+	return out
+}
+
 // outcomeOpen reports whether a refusal says nothing about other copies of the
 // call: only the owner of an idempotency key knows whether one of them ran.
 func (x *exchange) outcomeOpen() bool {
--- a/internal/dataplane/forward.go
+++ b/internal/dataplane/forward.go
@@ -22,6 +22,11 @@
 	s.limiter.SetSlots(service.Slots)
 	ctx, cancel := context.WithDeadline(x.base, x.call.Deadline)
 	defer cancel()
+	stay, err := s.crashes.enter(ctx, x)
+	if err != nil {
+		return err
+	}
+	defer stay.leave()
 	release, err := s.limiter.Acquire(ctx, x.call)
 	if err != nil {
 		return call.NewProblem(call.ProblemOverloaded, call.RanNo, err.Error(), err)
@@ -32,9 +37,22 @@
 		return call.NewProblem(call.ProblemDeadline, call.RanNo, "while waiting for a slot", nil)
 	}
 	s.cfg.Decisions.Line("call-admitted", "route", x.call.Route.Name, "rank", x.call.Rank.Name)
+	if err := stay.begin(); err != nil {
+		return err
+	}
+	return stay.end(s.runLocal(ctx, x, stay.suspect))
+}
+
+// runLocal sends an admitted call to the upstream. A suspect gets a connection
+// of its own, so that a stale connection is not taken for another crash.
+func (s *Server) runLocal(ctx context.Context, x *exchange, suspect bool) error {
 	req := s.outgoing(ctx, x, s.cfg.UpstreamAddr)
 	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
-	resp, err := s.roundTrip(x, s.upstream, req)
+	transport := s.upstream
+	if suspect {
+		transport = s.crashes.transport
+	}
+	resp, err := s.roundTrip(x, transport, req)
 	if err != nil {
 		return err
 	}
@@ -102,7 +120,10 @@
 	x.w.WriteHeader(resp.StatusCode)
 	buf := s.buffers.get()
 	defer s.buffers.put(buf)
-	if _, err := io.CopyBuffer(writerOnly{x.w}, resp.Body, *buf); err != nil {
+	out := &answerWriter{w: x.w}
+	if _, err := io.CopyBuffer(out, resp.Body, *buf); out.err != nil {
+		return call.NewProblem(call.ProblemCancelled, call.RanYes, "the caller does not read the answer", err)
+	} else if err != nil {
 		return failure(x, ctx, call.RanUnknown, err)
 	}
 	_ = rc.SetWriteDeadline(time.Time{})
--- a/internal/dataplane/limits.go
+++ b/internal/dataplane/limits.go
@@ -34,4 +34,7 @@
 	// it waits. Five intervals leave room for delays between regions and for a
 	// busy machine; a longer limit finds dead connections later.
 	silenceLimit = 5 * progressInterval
+	// reportLimit bounds the wait for acknowledgements of a crash report; it
+	// covers a round trip between regions.
+	reportLimit = 200 * time.Millisecond
 )
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/internal/routing"
 )
@@ -24,6 +25,7 @@
 	buffers  bufferPool
 	retrier  Retrier
 	keys     *once.Table
+	crashes  *crashGuard
 	draining atomic.Bool
 }
 
@@ -33,6 +35,7 @@
 		cfg.CatchUpLimit = defaultCatchUp
 	}
 	return &Server{
+		crashes:  newCrashGuard(cfg, control),
 		cfg:      cfg,
 		control:  control,
 		picker:   routing.NewPicker(),
@@ -63,11 +66,26 @@
 func (s *Server) Close() {
 	s.peers.CloseIdleConnections()
 	s.upstream.CloseIdleConnections()
+	s.crashes.transport.CloseIdleConnections()
 }
 
 // Drain makes the server close each connection after the next answer.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Receive handles a message from another node and reports whether it is for the
+// data plane. It does not block.
+func (s *Server) Receive(m message.Message) bool {
+	switch m := m.(type) {
+	case *message.CrashReport:
+		s.crashes.onReport(time.Now(), m)
+	case *message.CrashAck:
+		s.crashes.reports.onAck(m)
+	default:
+		return false
+	}
+	return true
+}
+
 // Load returns the running and waiting calls of the upstream.
 func (s *Server) Load() (running, waiting int) { return s.limiter.Load() }
 
--- a/internal/message/kind.go
+++ b/internal/message/kind.go
@@ -13,6 +13,8 @@
 	KindTableDigests  Kind = "tableDigests"
 	KindJoinRequest   Kind = "joinRequest"
 	KindJoinResponse  Kind = "joinResponse"
+	KindCrashReport   Kind = "crashReport"
+	KindCrashAck      Kind = "crashAck"
 )
 
 // Bulk reports whether messages of the kind may be large. They travel on a
@@ -41,6 +43,10 @@
 		return &JoinRequest{}, nil
 	case KindJoinResponse:
 		return &JoinResponse{}, nil
+	case KindCrashReport:
+		return &CrashReport{}, nil
+	case KindCrashAck:
+		return &CrashAck{}, nil
 	}
 	return nil, &UnknownKindError{Kind: k}
 }
--- a/internal/node/control_adapter.go
+++ b/internal/node/control_adapter.go
@@ -2,6 +2,9 @@
 
 import (
 	"github.com/filbertpier/filbertpier/internal/control"
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/runtime"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
@@ -14,3 +17,8 @@
 
 // CatchUp implements dataplane.Control.
 func (c controlAdapter) CatchUp(id snapshot.ID) { c.runtime.CatchUp(id) }
+
+// Send implements dataplane.Control.
+func (c controlAdapter) Send(to member.Member, m message.Message) {
+	c.runtime.Send(effect.Send{VM: to.VM, Addr: to.PeerAddr, CrossRegion: to.Region != c.Self().Region, Message: m})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/filbertpier/filbertpier/internal/control"
 	"github.com/filbertpier/filbertpier/internal/dataplane"
 	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/peer"
 	"github.com/filbertpier/filbertpier/internal/platform"
 	"github.com/filbertpier/filbertpier/internal/runtime"
@@ -76,7 +77,14 @@
 		Seed:           boot,
 	}, snapshot.NewStore())
 	n.runtime = runtime.New(n.agent, platform.NewHTTPClient(s.Platform.URL), log.Named("control"), n.metrics)
-	if n.transport, err = peer.Listen(s.Listen.Peers, s.LocalIP(), n.metrics, n.runtime.Receive); err != nil {
+	n.server = dataplane.NewServer(dataplane.Config{
+		UpstreamAddr: n.settings.Upstream,
+		LocalIP:      n.settings.LocalIP(),
+		Metrics:      n.metrics,
+		Decisions:    telemetry.NewDecisionLog(n.log.Named("call"), n.metrics, n.settings.Log.DecisionsEvery),
+		Invariants:   n.invariants,
+	}, controlAdapter{n.agent, n.runtime})
+	if n.transport, err = peer.Listen(s.Listen.Peers, s.LocalIP(), n.metrics, n.receive); err != nil {
 		return nil, err
 	}
 	if err := n.listen(); err != nil {
@@ -87,14 +95,14 @@
 	return n, nil
 }
 
+// receive passes a message from a peer to the part that it is for.
+func (n *Node) receive(m message.Message) {
+	if !n.server.Receive(m) {
+		n.runtime.Receive(m)
+	}
+}
+
 func (n *Node) listen() error {
-	n.server = dataplane.NewServer(dataplane.Config{
-		UpstreamAddr: n.settings.Upstream,
-		LocalIP:      n.settings.LocalIP(),
-		Metrics:      n.metrics,
-		Decisions:    telemetry.NewDecisionLog(n.log.Named("call"), n.metrics, n.settings.Log.DecisionsEvery),
-		Invariants:   n.invariants,
-	}, controlAdapter{n.agent, n.runtime})
 	var err error
 	if n.listener, err = listen(n.settings.Listen.Calls); err != nil {
 		return err
--- /dev/null
+++ b/internal/quarantine/fingerprint.go
@@ -0,0 +1,4 @@
+package quarantine
+
+// Fingerprint identifies a request and its resent copies.
+type Fingerprint [16]byte
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -73,6 +73,10 @@
 // CatchUp asks peers for a version that a call requires.
 func (r *Runtime) CatchUp(id snapshot.ID) { r.apply(r.agent.CatchUp(time.Now(), id)) }
 
+// Send sends a message of another part of the node; it never blocks. It may be
+// called once the agent is ready.
+func (r *Runtime) Send(e effect.Send) { r.apply([]effect.Effect{e}) }
+
 // Stop ends timers, reads and workers.
 func (r *Runtime) Stop() {
 	r.stopOnce.Do(func() {
