--- a/internal/call/headers.go
+++ b/internal/call/headers.go
@@ -32,6 +32,8 @@
 	// HeaderLoad holds running and waiting calls, slots, and 1 if the upstream
 	// is leaving; set by the node beside the upstream on answers to nodes.
 	HeaderLoad = "Filbertpier-Load"
+	// HeaderCall identifies one attempt between two nodes; the answer repeats it.
+	HeaderCall = "Filbertpier-Call"
 	// HeaderPrefix is shared by the headers that only nodes may set on answers.
 	HeaderPrefix = "Filbertpier-"
 )
--- a/internal/dataplane/catch_up_test.go
+++ b/internal/dataplane/catch_up_test.go
@@ -11,6 +11,7 @@
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/dataplane"
 	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/telemetry"
 	"github.com/filbertpier/filbertpier/internal/testkit"
 	"github.com/filbertpier/filbertpier/snapshot"
@@ -23,11 +24,12 @@
 	catchUp func(snapshot.ID)
 }
 
-func (c *fakeControl) Ready(time.Time) bool   { return true }
-func (c *fakeControl) Store() *snapshot.Store { return c.store }
-func (c *fakeControl) Table() *member.Table   { return c.table }
-func (c *fakeControl) Self() member.Member    { return member.Member{VM: "vm-1", Zone: "z", Region: "r"} }
-func (c *fakeControl) CatchUp(id snapshot.ID) { c.catchUp(id) }
+func (c *fakeControl) Ready(time.Time) bool                { return true }
+func (c *fakeControl) Store() *snapshot.Store              { return c.store }
+func (c *fakeControl) Table() *member.Table                { return c.table }
+func (c *fakeControl) Self() member.Member                 { return member.Member{VM: "vm-1", Zone: "z", Region: "r"} }
+func (c *fakeControl) Send(member.Member, message.Message) {}
+func (c *fakeControl) CatchUp(id snapshot.ID)              { c.catchUp(id) }
 
 func version(t *testing.T, n uint64) *snapshot.Snapshot {
 	t.Helper()
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -72,20 +72,36 @@
 	return &p
 }
 
+// pick chooses an upstream that was not tried. If none is known at all it waits
+// for a short time, because the view of the fleet lags behind the table: a node
+// that has just joined would refuse calls otherwise.
 func (s *Server) pick(x *exchange, tried map[string]bool) (routing.Decision, error) {
 	service, ok := x.snap.Document.Service(x.call.Route.Service)
 	s.cfg.Invariants.Check(ok, "route-service", "route %s points at unknown service %s", x.call.Route.Name, x.call.Route.Service)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	now := time.Now()
-	d, err := s.picker.Pick(now, routing.Query{
-		View: s.control.Table().View(now), Self: s.control.Self(), Service: service.Selector, Exclude: tried,
-		Order: x.call.Rank.Order, Worth: x.call.Rank.Worth, Deadline: x.call.Deadline,
-		Target: time.Duration(x.call.Rank.TargetMs) * time.Millisecond, Rand: rng,
-	})
-	if err != nil {
-		return d, call.NewProblem(call.ProblemNoUpstream, call.RanNo, err.Error(), err)
+	for n := 1; ; n++ {
+		now := time.Now()
+		d, err := s.picker.Pick(now, routing.Query{
+			View: s.control.Table().View(now), Self: s.control.Self(), Service: service.Selector, Exclude: tried,
+			Order: x.call.Rank.Order, Worth: x.call.Rank.Worth, Deadline: x.call.Deadline,
+			Target: time.Duration(x.call.Rank.TargetMs) * time.Millisecond, Rand: rng,
+		})
+		if err == nil {
+			return d, nil
+		}
+		problem := call.NewProblem(call.ProblemNoUpstream, call.RanNo, err.Error(), err)
+		if len(tried) > 0 || n > viewWaits {
+			return d, problem
+		}
+		s.cfg.Decisions.Line("upstream-awaited", "route", x.call.Route.Name, "service", service.Name, "attempt", n)
+		timer := time.NewTimer(viewWait)
+		select {
+		case <-timer.C:
+		case <-x.base.Done():
+			timer.Stop()
+			return d, problem
+		}
 	}
-	return d, nil
 }
 
 func (s *Server) attempt(x *exchange, d routing.Decision) error {
--- a/internal/dataplane/forward.go
+++ b/internal/dataplane/forward.go
@@ -23,6 +23,11 @@
 	s.limiter.SetLimits(admission.Limits{Slots: service.Slots, Connections: service.Connections, Ranks: x.snap.Document.Ranks()})
 	ctx, cancel := context.WithDeadline(x.base, x.call.Deadline)
 	defer cancel()
+	stay, err := s.crashes.enter(ctx, x)
+	if err != nil {
+		return err
+	}
+	defer stay.leave()
 	release, err := s.limiter.Acquire(ctx, x.call)
 	if x.r.Header.Get(call.HeaderTarget) != "" {
 		setLoad(x.w.Header(), s.limiter.Report())
@@ -36,13 +41,29 @@
 		return call.NewProblem(call.ProblemDeadline, call.RanNo, "while waiting for a slot", nil)
 	}
 	s.cfg.Decisions.Line("call-admitted", "route", x.call.Route.Name, "rank", x.call.Rank.Name)
+	if err := stay.begin(); err != nil {
+		return err
+	}
+	return stay.end(s.runLocal(ctx, x, stay.suspect))
+}
+
+// runLocal sends an admitted call to the upstream. A suspect gets a connection
+// of its own, so that a stale connection is not taken for another crash.
+func (s *Server) runLocal(ctx context.Context, x *exchange, suspect bool) error {
 	req := s.outgoing(ctx, x, s.cfg.UpstreamAddr)
 	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
 	req.Header.Set(call.HeaderDepth, strconv.Itoa(x.call.Depth+1))
-	resp, err := s.roundTrip(x, s.upstream, req)
+	transport := s.upstream
+	if suspect {
+		transport = s.crashes.transport
+	}
+	resp, err := s.roundTrip(x, transport, req)
 	if err != nil {
 		return err
 	}
+	if p := upstreamRefusal(resp); p != nil {
+		return p
+	}
 	return s.copyAnswer(ctx, x, resp)
 }
 
@@ -61,16 +82,6 @@
 	return s.copyAnswer(ctx, x, resp)
 }
 
-func (s *Server) sendToPeer(ctx context.Context, x *exchange, to member.Member) (*http.Response, error) {
-	req := s.outgoing(ctx, x, to.CallAddr)
-	req.Header.Set(call.HeaderVersion, x.snap.ID.String())
-	req.Header.Set(call.HeaderTarget, to.VM)
-	if !x.call.Route.Idempotent {
-		req.Header.Set(call.HeaderExpires, strconv.FormatInt(x.call.Deadline.UnixMilli(), 10))
-	}
-	return s.roundTrip(x, s.peers, req)
-}
-
 // outgoing copies the caller's request for the next hop.
 func (s *Server) outgoing(ctx context.Context, x *exchange, host string) *http.Request {
 	in := x.r
@@ -100,6 +111,12 @@
 // caller's connection, so that it is never taken for a whole one.
 func (s *Server) copyAnswer(ctx context.Context, x *exchange, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
+	if err := checkFraming(x, resp); err != nil {
+		return err
+	}
+	// A caller that does not read must not hold a slot beyond the deadline.
+	rc := http.NewResponseController(x.w)
+	_ = rc.SetWriteDeadline(x.call.Deadline)
 	h := x.w.Header()
 	for name, values := range resp.Header {
 		if !hopHeaders[name] && !strings.HasPrefix(name, call.HeaderPrefix) {
@@ -112,8 +129,12 @@
 	x.w.WriteHeader(resp.StatusCode)
 	buf := s.buffers.get()
 	defer s.buffers.put(buf)
-	if _, err := io.CopyBuffer(writerOnly{x.w}, resp.Body, *buf); err != nil {
+	out := &answerWriter{w: x.w}
+	if _, err := io.CopyBuffer(out, resp.Body, *buf); out.err != nil {
+		return call.NewProblem(call.ProblemCancelled, call.RanYes, "the caller does not read the answer", err)
+	} else if err != nil {
 		return failure(x, ctx, call.RanUnknown, err)
 	}
+	_ = rc.SetWriteDeadline(time.Time{})
 	return nil
 }
--- a/internal/dataplane/limits.go
+++ b/internal/dataplane/limits.go
@@ -21,4 +21,18 @@
 	replayBytes = 64 << 10
 	// maxProblemBytes bounds the problem details read from another node.
 	maxProblemBytes = 16 << 10
+	// viewWait and viewWaits bound the wait of a call for a first upstream. A
+	// view of the fleet is rebuilt at most every 100 ms.
+	viewWait  = 120 * time.Millisecond
+	viewWaits = 2
+	// progressInterval is the time between informational responses to another
+	// node while its call waits or runs.
+	progressInterval = 300 * time.Millisecond
+	// silenceLimit is how long a connection to another node may be silent while
+	// it waits. Five intervals leave room for delays between regions and for a
+	// busy machine; a longer limit finds dead connections later.
+	silenceLimit = 5 * progressInterval
+	// reportLimit bounds the wait for acknowledgements of a crash report; it
+	// covers a round trip between regions.
+	reportLimit = 200 * time.Millisecond
 )
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/internal/routing"
 )
@@ -24,6 +25,7 @@
 	buffers  bufferPool
 	retrier  Retrier
 	keys     *once.Table
+	crashes  *crashGuard
 	draining atomic.Bool
 }
 
@@ -33,6 +35,7 @@
 		cfg.CatchUpLimit = defaultCatchUp
 	}
 	return &Server{
+		crashes:  newCrashGuard(cfg, control),
 		cfg:      cfg,
 		control:  control,
 		picker:   routing.NewPicker(),
@@ -63,17 +66,38 @@
 func (s *Server) Close() {
 	s.peers.CloseIdleConnections()
 	s.upstream.CloseIdleConnections()
+	s.crashes.transport.CloseIdleConnections()
 }
 
 // Drain makes the server close each connection after the next answer.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Receive handles a message from another node and reports whether it is for the
+// data plane. It does not block.
+func (s *Server) Receive(m message.Message) bool {
+	switch m := m.(type) {
+	case *message.CrashReport:
+		s.crashes.onReport(time.Now(), m)
+	case *message.CrashAck:
+		s.crashes.reports.onAck(m)
+	default:
+		return false
+	}
+	return true
+}
+
 // Load returns the running and waiting calls of the upstream.
 func (s *Server) Load() (running, waiting int) { return s.limiter.Load() }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	if r.Header.Get(call.HeaderTarget) != "" {
+		p := newProgressWriter(w, progressInterval)
+		defer p.end()
+		p.Header().Set(call.HeaderCall, r.Header.Get(call.HeaderCall))
+		w = p
+	}
 	x := &exchange{w: w, r: r, base: r.Context()}
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -12,6 +13,7 @@
 	"github.com/filbertpier/filbertpier/internal/control"
 	"github.com/filbertpier/filbertpier/internal/dataplane"
 	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/peer"
 	"github.com/filbertpier/filbertpier/internal/platform"
 	"github.com/filbertpier/filbertpier/internal/runtime"
@@ -30,6 +32,9 @@
 	// leaveNotice is how long a stopping node keeps accepting calls after it
 	// has announced that it leaves, so that senders learn of it first.
 	leaveNotice = time.Second
+	// spareGrace is how long a stopping node waits for the first request on a
+	// new connection.
+	spareGrace = 500 * time.Millisecond
 )
 
 // Node is a running node. Its methods are safe for concurrent use.
@@ -42,6 +47,9 @@
 	runtime    *runtime.Runtime
 	transport  *peer.Transport
 	server     *dataplane.Server
+	listener   *callListener
+	finishing  sync.Once
+	conns      *connTracker
 	calls      *http.Server
 	admin      *http.Server
 }
@@ -53,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, log: log, metrics: telemetry.NewMetrics()}
+	n := &Node{settings: s, log: log, metrics: telemetry.NewMetrics(), conns: newConnTracker()}
 	n.invariants = telemetry.NewInvariants(n.metrics, s.FatalInvariants)
 	boot := uint64(time.Now().UnixMilli())
 	n.agent = control.New(control.Config{
@@ -70,7 +78,14 @@
 		Seed:           boot,
 	}, snapshot.NewStore())
 	n.runtime = runtime.New(n.agent, platform.NewHTTPClient(s.Platform.URL), log.Named("control"), n.metrics)
-	if n.transport, err = peer.Listen(s.Listen.Peers, s.LocalIP(), n.metrics, n.runtime.Receive); err != nil {
+	n.server = dataplane.NewServer(dataplane.Config{
+		UpstreamAddr: n.settings.Upstream,
+		LocalIP:      n.settings.LocalIP(),
+		Metrics:      n.metrics,
+		Decisions:    telemetry.NewDecisionLog(n.log.Named("call"), n.metrics, n.settings.Log.DecisionsEvery),
+		Invariants:   n.invariants,
+	}, controlAdapter{n.agent, n.runtime})
+	if n.transport, err = peer.Listen(s.Listen.Peers, s.LocalIP(), n.metrics, n.receive); err != nil {
 		return nil, err
 	}
 	if err := n.listen(); err != nil {
@@ -81,33 +96,39 @@
 	return n, nil
 }
 
+// receive passes a message from a peer to the part that it is for.
+func (n *Node) receive(m message.Message) {
+	if !n.server.Receive(m) {
+		n.runtime.Receive(m)
+	}
+}
+
 func (n *Node) listen() error {
-	n.server = dataplane.NewServer(dataplane.Config{
-		UpstreamAddr: n.settings.Upstream,
-		LocalIP:      n.settings.LocalIP(),
-		Metrics:      n.metrics,
-		Decisions:    telemetry.NewDecisionLog(n.log.Named("call"), n.metrics, n.settings.Log.DecisionsEvery),
-		Invariants:   n.invariants,
-	}, controlAdapter{n.agent, n.runtime})
 	var err error
-	if n.calls, err = serve(n.settings.Listen.Calls, n.server); err != nil {
+	if n.listener, err = listen(n.settings.Listen.Calls); err != nil {
 		return err
 	}
+	n.calls = serve(n.listener, n.server, n.conns.note)
 	if n.admin, err = n.serveAdmin(); err != nil {
+		n.listener.finish()
 		_ = n.calls.Close()
 		return err
 	}
 	return nil
 }
 
-func serve(addr string, h http.Handler) (*http.Server, error) {
+func listen(addr string) (*callListener, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, &ListenError{Addr: addr, Err: err}
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return newCallListener(l.(*net.TCPListener)), nil
+}
+
+func serve(l net.Listener, h http.Handler, state func(net.Conn, http.ConnState)) *http.Server {
+	s := &http.Server{Handler: h, ConnState: state, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go func() { _ = s.Serve(l) }()
-	return s, nil
+	return s
 }
 
 // Stop announces that the node leaves, lets calls in flight finish within the
@@ -125,12 +146,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
-	_ = n.calls.Shutdown(ctx)
+	n.finishing.Do(n.listener.finish)
+	n.calls.SetKeepAlivesEnabled(false)
+	n.conns.wait(ctx, spareGrace)
 	n.Close()
 }
 
 // Close ends the node at once, with the calls in flight.
 func (n *Node) Close() {
+	n.finishing.Do(n.listener.finish)
 	_ = n.calls.Close()
 	n.server.Close()
 	_ = n.admin.Close()
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -16,9 +16,14 @@
 }
 
 const (
-	// reserve is what a service starts with and keeps when it is rarely used,
-	// so that a node that makes few calls to it can retry at all.
-	reserve = 1.0
+	// outermostReserve is what an outermost call's service starts with and
+	// keeps when it is rarely used: a burst of calls that lose one upstream is
+	// retried although few calls have earned tokens. Spent tokens come back
+	// with calls only, and an outermost call is at one level only.
+	outermostReserve = 10.0
+	// nestedReserve is the same for each nested level, where a larger one
+	// would add up over 28 levels.
+	nestedReserve = 1.0
 	// halfLife is how fast unspent tokens above the reserve fade. With 10 s,
 	// the tokens of a healthy minute allowed 1,000 retries of 1,000 calls in the first
 	// second of a failure.
@@ -27,6 +32,10 @@
 
 func (b *budget) account(now time.Time, depth int) *float64 {
 	depth = min(max(depth, 0), call.MaxDepth)
+	reserve := nestedReserve
+	if depth == 0 {
+		reserve = outermostReserve
+	}
 	t := &b.tokens[depth]
 	if b.at[depth].IsZero() {
 		*t = reserve
