Rebuild views less often in large fleets and allocate less per heartbeat

Cause: profiles of BenchmarkMemberUpdate and of the virtual fleet showed slices that grew shard by shard, a view per 100 ms at any size, and two maps for each heartbeat.

--- a/internal/control/check.go
+++ b/internal/control/check.go
@@ -31,6 +31,9 @@
 	}
 	current := a.store.CurrentID()
 	a.cfg.Invariants.Check(!current.IsZero(), "serving-joined", "ready with no version in force")
+	if last := a.served.Load(); last != nil && *last == current {
+		return
+	}
 	last := a.served.Swap(&current)
 	if last != nil && current.Less(*last) {
 		// Another goroutine may have stored a newer ID after current was read.
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -19,7 +19,7 @@
 		Current:       a.store.CurrentID(),
 		Ready:         a.Ready(now),
 		PlatformAgeMs: age,
-		ZoneAgesMs:    a.zoneAges(now),
+		ZoneAgesMs:    a.zones.ages(now),
 		Ask:           a.join.ask(),
 		Reply:         reply,
 	}
--- a/internal/control/zone_state.go
+++ b/internal/control/zone_state.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"maps"
 	"sync"
 	"time"
 )
@@ -42,10 +41,15 @@
 	return now.Sub(at)
 }
 
-func (z *zoneState) all() map[string]time.Time {
+// ages returns the silence of each zone in milliseconds.
+func (z *zoneState) ages(now time.Time) map[string]int64 {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return maps.Clone(z.lastHeard)
+	out := make(map[string]int64, len(z.lastHeard))
+	for zone, at := range z.lastHeard {
+		out[zone] = now.Sub(at).Milliseconds()
+	}
+	return out
 }
 
 func (z *zoneState) reset() {
--- a/internal/control/zones.go
+++ b/internal/control/zones.go
@@ -28,16 +28,6 @@
 	return a.zones.silence(zone, now) > limit
 }
 
-// zoneAges returns the silence of each other zone for heartbeats.
-func (a *Agent) zoneAges(now time.Time) map[string]int64 {
-	heard := a.zones.all()
-	ages := make(map[string]int64, len(heard))
-	for zone, at := range heard {
-		ages[zone] = now.Sub(at).Milliseconds()
-	}
-	return ages
-}
-
 // hearZones merges what a peer knows of the zones. What it heard is older by
 // the message's delay than the ages tell; the limits leave room for that.
 func (a *Agent) hearZones(now time.Time, m *message.Heartbeat) {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -58,16 +58,25 @@
 
 // All returns all records. The order depends only on the VM ids.
 func (t *Table) All() []Member {
-	var out []Member
+	out := make([]Member, 0, t.len())
 	for i := range t.shards {
 		out = t.shards[i].appendTo(out)
 	}
 	return out
 }
 
+// len returns the number of records; it may be outdated on return.
+func (t *Table) len() int {
+	n := 0
+	for i := range t.shards {
+		n += t.shards[i].len()
+	}
+	return n
+}
+
 // unordered returns all records in no particular order.
 func (t *Table) unordered() []Member {
-	var out []Member
+	out := make([]Member, 0, t.len())
 	for i := range t.shards {
 		out = t.shards[i].appendUnordered(out)
 	}
@@ -96,6 +105,6 @@
 	}
 }
 
-// View returns an immutable view of the table that is at most
-// viewMaxAge behind it.
+// View returns an immutable view of the table that is at most minViewAge, or
+// viewAgePerMember for each member, behind it.
 func (t *Table) View(now time.Time) *View { return t.views.get(now, t) }
--- a/internal/member/table_shard.go
+++ b/internal/member/table_shard.go
@@ -48,6 +48,12 @@
 	return out
 }
 
+func (s *tableShard) len() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.byVM)
+}
+
 func (s *tableShard) appendUnordered(out []Member) []Member {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/internal/member/view_cache.go
+++ b/internal/member/view_cache.go
@@ -6,9 +6,14 @@
 	"time"
 )
 
-// viewMaxAge bounds how often the view is rebuilt while many records change,
-// as in a mass restart: building it costs about a millisecond at 7,300 members.
-const viewMaxAge = 100 * time.Millisecond
+const (
+	// minViewAge bounds how often the view is rebuilt while many records
+	// change, as in a mass restart.
+	minViewAge = 100 * time.Millisecond
+	// viewAgePerMember does so in large fleets, where building the view takes
+	// several milliseconds: every 365 ms at 7,300 members.
+	viewAgePerMember = 50 * time.Microsecond
+)
 
 // viewCache keeps the last view of a table.
 type viewCache struct {
@@ -35,5 +40,5 @@
 // fresh also accepts a view from after now: callers with an older time may run
 // concurrently with the one that built it.
 func (c *viewCache) fresh(v *View, now time.Time, t *Table) bool {
-	return v.generation == t.generation.Load() || now.Sub(v.builtAt) < viewMaxAge
+	return v.generation == t.generation.Load() || now.Sub(v.builtAt) < max(minViewAge, time.Duration(len(v.all))*viewAgePerMember)
 }
