--- a/internal/control/zones.go
+++ b/internal/control/zones.go
@@ -28,16 +28,6 @@
 	return a.zones.silence(zone, now) > limit
 }
 
-// zoneAges returns the silence of each other zone for heartbeats.
-func (a *Agent) zoneAges(now time.Time) map[string]int64 {
-	heard := a.zones.all()
-	ages := make(map[string]int64, len(heard))
-	for zone, at := range heard {
-		ages[zone] = now.Sub(at).Milliseconds()
-	}
-	return ages
-}
-
 // hearZones merges what a peer knows of the zones. What it heard is older by
 // the message's delay than the ages tell; the limits leave room for that.
 func (a *Agent) hearZones(now time.Time, m *message.Heartbeat) {
@@ -52,15 +42,17 @@
 	}
 }
 
-// probeDead sends a heartbeat to a member that counts as dead. If its process
-// lives, it learns of that and refutes.
+// probeDead sends a heartbeat to a member of the region that counts as dead. If
+// its process lives, it learns of that and refutes. Both halves of a zone that
+// was split take each other for dead; without probes they would not find back
+// together.
 func (a *Agent) probeDead(now time.Time, view *member.View, self member.Member, out *effects) {
 	dead := view.Dead()
 	if len(dead) == 0 {
 		return
 	}
 	m := dead[a.rng.intN(len(dead))]
-	if m.Zone == self.Zone || m.Region == self.Region && a.ZoneSuspect(now, m.Zone) {
+	if m.Region == self.Region {
 		out.send(self, m, a.heartbeat(now, false))
 	}
 }
