--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: build format vet staticcheck test demo clean
+.PHONY: build format vet staticcheck test demo bench-convergence clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./tools/...
@@ -23,5 +23,8 @@
 demo: build
 	$(BIN)/demo --bin $(BIN)
 
+bench-convergence: build
+	timeout 120 $(BIN)/benchconvergence --bin $(BIN)
+
 clean:
 	rm -rf $(BIN)
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -111,6 +111,7 @@
 	r.metrics.PlatformReads.WithLabelValues(e.Query.String()).Inc()
 	_ = r.reads.Go(func() {
 		ans := read(r.ctx, r.platform, e)
+		r.metrics.PlatformBytes.Add(float64(len(ans.Value)))
 		if r.ctx.Err() == nil {
 			r.apply(r.agent.HandlePlatform(time.Now(), ans))
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -20,6 +20,8 @@
 	SilentConnections prometheus.Counter
 	// PlatformReads counts platform reads by query.
 	PlatformReads *prometheus.CounterVec
+	// PlatformBytes counts the bytes of values read from the platform.
+	PlatformBytes prometheus.Counter
 	// Version is the version number in force.
 	Version prometheus.Gauge
 	// Calls counts calls by route, rank and outcome.
@@ -41,6 +43,7 @@
 		DroppedMessages:    counter("control_dropped_messages_total", "Messages dropped at full queues."),
 		SilentConnections:  counter("control_silent_connections_total", "Connections replaced because they went silent."),
 		PlatformReads:      counterVec("platform_reads_total", "Platform reads.", "query"),
+		PlatformBytes:      counter("platform_value_bytes_total", "Bytes of values read from the platform."),
 		Version:            prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "version", Help: "Version number in force."}),
 		Calls:              counterVec("calls_total", "Calls by route, rank and outcome.", "route", "rank", "outcome"),
 		CallSeconds:        callSeconds(),
@@ -48,7 +51,7 @@
 		Violations:         counterVec("invariant_violations_total", "Broken invariants.", "invariant"),
 	}
 	m.Registry.MustRegister(m.Decisions, m.ControlBytes, m.DroppedMessages, m.SilentConnections, m.PlatformReads,
-		m.Version, m.Calls, m.CallSeconds, m.LogLinesSampledOut, m.Violations)
+		m.PlatformBytes, m.Version, m.Calls, m.CallSeconds, m.LogLinesSampledOut, m.Violations)
 	return m
 }
 
