Cut cross-region traffic: far readers rely on heartbeats, streams are compressed

Change: readers outside the platform's region watch only when no read was heard of for StaleAfter; connections across regions are one zstd stream, flushed per message. Incoming messages are bounded, malformed and oversized ones are counted, and incoming connections that stay quiet are closed.

--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -50,10 +50,13 @@
 	// maxRefused bounds the remembered refused versions.
 	maxRefused = 64
 
-	// watchWait is how long a reader's watch waits in the platform's region.
+	// watchWait is how long a reader's watch waits. It is shorter than
+	// reader.StaleAfter, so that a quiet platform does not look unread.
 	watchWait = 2 * time.Second
-	// watchWaitFar is the same in other regions.
-	watchWaitFar = 20 * time.Second
+	// farWatchTime is how long the readers of another region watch the
+	// platform after no node seemed to read it. Their own reads hide whether
+	// the platform's region reads again, so the choice must expire.
+	farWatchTime = time.Minute
 	// vmListInterval is the time between reads of the VM list in the
 	// platform's region.
 	vmListInterval = 5 * time.Second
--- a/internal/control/platform_read.go
+++ b/internal/control/platform_read.go
@@ -20,7 +20,9 @@
 	}
 	near := self.Region == a.cfg.PlatformRegion
 	if isReader {
-		a.watchManifest(now, near, out)
+		if near || a.mustReadFar(now) {
+			a.watchManifest(now, out)
+		}
 		a.readList(now, near, out)
 		return
 	}
@@ -31,19 +33,30 @@
 	out.timer(reader.FallbackDelay(len(view.All()), a.rng.fork()), effect.Timer{Kind: effect.TimerFallback})
 }
 
-// watchManifest keeps one watch open. The caller holds platform.mu.
-func (a *Agent) watchManifest(now time.Time, near bool, out *effects) {
+// mustReadFar reports whether the readers of another region than the platform's
+// must watch it themselves. As long as heartbeats tell of fresh reads they do
+// not, since each watch carries the whole manifest across regions, several times
+// what a change costs between nodes. The caller holds platform.mu.
+func (a *Agent) mustReadFar(now time.Time) bool {
 	p := &a.platform
-	wait := watchWait
-	if !near {
-		wait = watchWaitFar
+	if p.lastSeen.IsZero() {
+		return true
 	}
-	lost := now.Sub(p.manifestPending) > 2*wait
+	if now.Sub(p.lastSeen) > reader.StaleAfter {
+		p.readFarUntil = now.Add(farWatchTime)
+	}
+	return now.Before(p.readFarUntil)
+}
+
+// watchManifest keeps one watch open. The caller holds platform.mu.
+func (a *Agent) watchManifest(now time.Time, out *effects) {
+	p := &a.platform
+	lost := now.Sub(p.manifestPending) > 2*watchWait
 	if (!p.manifestPending.IsZero() && !lost) || now.Before(p.manifestNotBefore) {
 		return
 	}
 	p.manifestPending = now
-	out.read(effect.ReadPlatform{Query: effect.QueryManifest, AfterRevision: p.manifestRevision, Wait: wait})
+	out.read(effect.ReadPlatform{Query: effect.QueryManifest, AfterRevision: p.manifestRevision, Wait: watchWait})
 }
 
 // readList reads the VM list from time to time. The caller holds platform.mu.
--- a/internal/control/platform_state.go
+++ b/internal/control/platform_state.go
@@ -20,6 +20,9 @@
 	manifestNotBefore time.Time
 	listNotBefore     time.Time
 	fallbackArmed     bool
+	// readFarUntil is how long the readers of another region than the
+	// platform's watch it themselves.
+	readFarUntil time.Time
 	// readerNotBefore keeps a starting node from reading while it knows only
 	// part of the fleet; aloneNotBefore while it knows no other node.
 	readerNotBefore time.Time
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -12,6 +12,7 @@
 // handler decodes the messages of one incoming connection.
 type handler struct {
 	receive Receiver
+	traffic Traffic
 }
 
 // Handle implements jsonrpc2.Handler.
@@ -22,6 +23,7 @@
 	}
 	m, err := Decode(req.Method, req.Params)
 	if err != nil {
+		h.traffic.Malformed()
 		return
 	}
 	h.receive(m)
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -14,6 +14,15 @@
 	silenceLimit = 3 * time.Second
 	// idleLimit closes connections to peers that are no longer talked to.
 	idleLimit = 30 * time.Second
+	// incomingLimit closes incoming connections that bring nothing; the
+	// dialling side closes its own after idleLimit.
+	incomingLimit = 2 * idleLimit
+	// maxMessageBytes bounds an incoming message: a join response with 7,300
+	// records of about 250 bytes has 1.8 MB, a whole document a few more.
+	maxMessageBytes = 16 << 20
+	// streamWindow is the window of compressed streams in bytes. It holds some
+	// hundred heartbeats; larger ones cost memory for each connection.
+	streamWindow = 64 << 10
 	// redialBase and redialMax bound the jittered backoff after a failed dial.
 	redialBase = 100 * time.Millisecond
 	redialMax  = 5 * time.Second
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -68,11 +68,11 @@
 // writeFrom dials, writes m and then the queue until the connection fails, goes
 // silent or is idle. It reports whether the connection had been established.
 func (l *link) writeFrom(ctx context.Context, m message.Message) bool {
-	raw, err := l.dialer.DialContext(ctx, "tcp", l.addr)
+	raw, err := l.dial(ctx)
 	if err != nil {
 		return false
 	}
-	conn := jsonrpc2.NewConn(ctx, newStream(&countingConn{Conn: raw, traffic: l.traffic, crossRegion: l.crossRegion}), nopHandler{})
+	conn := jsonrpc2.NewConn(ctx, newStream(raw, l.traffic), nopHandler{})
 	defer func() { _ = conn.Close() }()
 	l.probing.Store(false)
 	for {
@@ -94,6 +94,24 @@
 	}
 }
 
+// dial returns a counted connection, compressed if it leaves the region.
+func (l *link) dial(ctx context.Context) (net.Conn, error) {
+	raw, err := l.dialer.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countingConn{Conn: raw, traffic: l.traffic, crossRegion: l.crossRegion}
+	if !l.crossRegion {
+		return counted, nil
+	}
+	compressed, err := newCompressedConn(counted)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return compressed, nil
+}
+
 // probe asks for a sign of life after a burst of messages and closes the
 // connection if none comes: messages themselves are not answered on it.
 func (l *link) probe(ctx context.Context, conn *jsonrpc2.Conn) {
--- /dev/null
+++ b/internal/peer/oversized_error.go
@@ -0,0 +1,13 @@
+package peer
+
+import "fmt"
+
+// OversizedError reports an incoming message whose length prefix is beyond the
+// bound.
+type OversizedError struct {
+	Bytes uint64
+}
+
+func (e *OversizedError) Error() string {
+	return fmt.Sprintf("message of %d bytes; at most %d are allowed", e.Bytes, maxMessageBytes)
+}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -7,6 +7,6 @@
 )
 
 // newStream frames JSON objects with a length prefix.
-func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+func newStream(conn net.Conn, traffic Traffic) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(conn, messageCodec{traffic: traffic})
 }
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -8,4 +8,7 @@
 	Dropped()
 	// SilentConnection counts connections replaced because they went silent.
 	SilentConnection()
+	// Malformed counts incoming messages that cannot be decoded or are too
+	// long.
+	Malformed()
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -96,15 +96,25 @@
 		if err != nil {
 			return
 		}
-		conn := jsonrpc2.NewConn(t.ctx, newStream(&countingConn{Conn: raw, traffic: t.traffic}), handler{receive: t.receive})
 		t.wg.Add(1)
 		go func() {
 			defer t.wg.Done()
-			select {
-			case <-conn.DisconnectNotify():
-			case <-t.ctx.Done():
-				_ = conn.Close()
-			}
+			t.serve(raw)
 		}()
 	}
 }
+
+// serve reads one incoming connection until it ends.
+func (t *Transport) serve(raw net.Conn) {
+	stop := context.AfterFunc(t.ctx, func() { _ = raw.Close() })
+	defer stop()
+	in, err := newIncomingConn(&countingConn{Conn: raw, traffic: t.traffic})
+	if err != nil {
+		_ = raw.Close()
+		return
+	}
+	defer in.release()
+	conn := jsonrpc2.NewConn(t.ctx, newStream(in, t.traffic), handler{receive: t.receive, traffic: t.traffic})
+	<-conn.DisconnectNotify()
+	_ = conn.Close()
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -18,6 +18,9 @@
 	DroppedMessages prometheus.Counter
 	// SilentConnections counts replaced connections.
 	SilentConnections prometheus.Counter
+	// MalformedMessages counts incoming messages that cannot be decoded or are
+	// too long.
+	MalformedMessages prometheus.Counter
 	// PlatformReads counts platform reads by query.
 	PlatformReads *prometheus.CounterVec
 	// PlatformBytes counts the bytes of values read from the platform.
@@ -42,6 +45,7 @@
 		ControlBytes:       counterVec("control_sent_bytes_total", "Bytes sent to peers.", "cross_region"),
 		DroppedMessages:    counter("control_dropped_messages_total", "Messages dropped at full queues."),
 		SilentConnections:  counter("control_silent_connections_total", "Connections replaced because they went silent."),
+		MalformedMessages:  counter("control_malformed_messages_total", "Incoming messages that cannot be decoded or are too long."),
 		PlatformReads:      counterVec("platform_reads_total", "Platform reads.", "query"),
 		PlatformBytes:      counter("platform_value_bytes_total", "Bytes of values read from the platform."),
 		Version:            prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "version", Help: "Version number in force."}),
@@ -51,7 +55,7 @@
 		Violations:         counterVec("invariant_violations_total", "Broken invariants.", "invariant"),
 	}
 	m.Registry.MustRegister(m.Decisions, m.ControlBytes, m.DroppedMessages, m.SilentConnections, m.PlatformReads,
-		m.PlatformBytes, m.Version, m.Calls, m.CallSeconds, m.LogLinesSampledOut, m.Violations)
+		m.PlatformBytes, m.MalformedMessages, m.Version, m.Calls, m.CallSeconds, m.LogLinesSampledOut, m.Violations)
 	return m
 }
 
@@ -66,6 +70,9 @@
 // SilentConnection implements peer.Traffic.
 func (m *Metrics) SilentConnection() { m.SilentConnections.Inc() }
 
+// Malformed implements peer.Traffic.
+func (m *Metrics) Malformed() { m.MalformedMessages.Inc() }
+
 const namespace = "filbertpier"
 
 func counter(name, help string) prometheus.Counter {
