--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -23,6 +23,10 @@
 	// streamWindow is the window of compressed streams in bytes. It holds some
 	// hundred heartbeats; larger ones cost memory for each connection.
 	streamWindow = 64 << 10
+	// steadyAfter is how long a connection must last to count as established.
+	// A peer that accepts and closes at once would otherwise be dialled again
+	// for each message.
+	steadyAfter = 2 * time.Second
 	// redialBase and redialMax bound the jittered backoff after a failed dial.
 	redialBase = 100 * time.Millisecond
 	redialMax  = 5 * time.Second
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -53,7 +53,9 @@
 		case <-time.After(idleLimit):
 			return
 		case m := <-l.queue:
-			if l.writeFrom(ctx, m) {
+			start := time.Now()
+			l.writeFrom(ctx, m)
+			if time.Since(start) > steadyAfter {
 				failures = 0
 				continue
 			}
@@ -66,18 +68,18 @@
 }
 
 // writeFrom dials, writes m and then the queue until the connection fails, goes
-// silent or is idle. It reports whether the connection had been established.
-func (l *link) writeFrom(ctx context.Context, m message.Message) bool {
+// silent or is idle.
+func (l *link) writeFrom(ctx context.Context, m message.Message) {
 	raw, err := l.dial(ctx)
 	if err != nil {
-		return false
+		return
 	}
-	conn := jsonrpc2.NewConn(ctx, newStream(raw, l.traffic), nopHandler{})
+	conn := jsonrpc2.NewConn(ctx, newStream(raw, l.traffic), nopHandler{}, quiet)
 	defer func() { _ = conn.Close() }()
 	l.probing.Store(false)
 	for {
 		if err := conn.Notify(ctx, string(m.Kind()), m); err != nil {
-			return true
+			return
 		}
 		if len(l.queue) == 0 {
 			l.probe(ctx, conn)
@@ -85,11 +87,11 @@
 		select {
 		case m = <-l.queue:
 		case <-conn.DisconnectNotify():
-			return true
+			return
 		case <-time.After(idleLimit):
-			return true
+			return
 		case <-ctx.Done():
-			return true
+			return
 		}
 	}
 }
@@ -129,7 +131,7 @@
 	}()
 }
 
-// backOff waits after a failed dial and reports whether to go on.
+// backOff waits after a failed dial or a connection that ended at once, and reports whether to go on.
 func (l *link) backOff(ctx context.Context, failures int) bool {
 	d := min(redialBase<<min(failures, 6), redialMax)
 	d = d/2 + rand.N(d)
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"io"
+	"log"
 	"net"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -10,3 +12,7 @@
 func newStream(conn net.Conn, traffic Traffic) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(conn, messageCodec{traffic: traffic})
 }
+
+// quiet keeps the library from writing to the standard logger: failed and bad
+// connections are counted.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -114,7 +114,7 @@
 		return
 	}
 	defer in.release()
-	conn := jsonrpc2.NewConn(t.ctx, newStream(in, t.traffic), handler{receive: t.receive, traffic: t.traffic})
+	conn := jsonrpc2.NewConn(t.ctx, newStream(in, t.traffic), handler{receive: t.receive, traffic: t.traffic}, quiet)
 	<-conn.DisconnectNotify()
 	_ = conn.Close()
 }
