--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: build format vet staticcheck test demo bench-convergence clean
+.PHONY: build format vet staticcheck test demo bench-convergence bench-capacity clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./tools/...
@@ -26,5 +26,8 @@
 bench-convergence: build
 	timeout 120 $(BIN)/benchconvergence --bin $(BIN)
 
+bench-capacity: build
+	timeout 150 $(BIN)/benchcapacity --bin $(BIN)
+
 clean:
 	rm -rf $(BIN)
--- a/config/source.go
+++ b/config/source.go
@@ -8,12 +8,10 @@
 	"github.com/tailscale/hujson"
 )
 
-// source is a section's text with its decoded body and the positions of its
-// values.
+// source is a section's text with its decoded body.
 type source struct {
 	section Section
 	body    SectionBody
-	tree    hujson.Value
 }
 
 // parseSource decodes one section. Unknown fields are faults: a misspelt field
@@ -22,14 +20,12 @@
 	if len(s.Raw) > MaxSectionBytes {
 		return nil, []Fault{{Section: s.Name, Rule: "section-size", Detail: fmt.Sprintf("%d bytes, at most %d", len(s.Raw), MaxSectionBytes)}}
 	}
-	tree, err := hujson.Parse(s.Raw)
+	std, err := hujson.Standardize(s.Raw)
 	if err != nil {
 		return nil, []Fault{{Section: s.Name, Line: 1, Rule: "syntax", Detail: err.Error()}}
 	}
-	src := &source{section: s, tree: tree}
-	std := tree.Clone()
-	std.Standardize()
-	dec := json.NewDecoder(bytes.NewReader(std.Pack()))
+	src := &source{section: s}
+	dec := json.NewDecoder(bytes.NewReader(std))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&src.body); err != nil {
 		return nil, []Fault{{Section: s.Name, Line: lineAt(s.Raw, int(dec.InputOffset())), Rule: "schema", Detail: err.Error()}}
@@ -37,9 +33,15 @@
 	return src, nil
 }
 
-// line returns the line of the value at a JSON pointer, or 1.
+// line returns the line of the value at a JSON pointer, or 1. It parses the text
+// again: positions are needed for faults only, and keeping them costs several
+// times the text.
 func (s *source) line(pointer string) int {
-	v := s.tree.Find(pointer)
+	tree, err := hujson.Parse(s.section.Raw)
+	if err != nil {
+		return 1
+	}
+	v := tree.Find(pointer)
 	if v == nil {
 		return 1
 	}
--- /dev/null
+++ b/tools/benchcapacity/main.go
@@ -0,0 +1,23 @@
+// Command benchcapacity measures how control cost grows with the fleet and
+// prints the slopes that docs/CAPACITY.md uses.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/filbertpier/filbertpier/tools/capacity"
+)
+
+func main() {
+	app := kingpin.New("benchcapacity", "Slopes of control cost against fleet size.")
+	bin := app.Flag("bin", "Folder of the programs.").Default("bin").String()
+	subnet := app.Flag("subnet", "Second octet of the loopback addresses.").Default("30").Int()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := capacity.Run(os.Stdout, *bin, *subnet); err != nil {
+		fmt.Fprintln(os.Stderr, "bench-capacity:", err)
+		os.Exit(1)
+	}
+}
--- a/tools/convergence/real_run.go
+++ b/tools/convergence/real_run.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// calmChanges is the number of versions published while nothing fails.
-	calmChanges = 5
+	// Changes is the number of versions published while nothing fails.
+	Changes = 5
 	// realWindow bounds the wait for a version.
 	realWindow = 4 * time.Second
 	// idleWindow is how long the idle fleet is measured.
@@ -39,6 +39,15 @@
 // RunReal starts a fleet of 6 zones in 3 regions, runs the scenarios and stops
 // it.
 func RunReal(bin string, subnet, rounds int) (*RealRun, error) {
+	return runReal(bin, subnet, rounds, (*RealRun).dying, (*RealRun).stale, (*RealRun).restart)
+}
+
+// MeasureCost runs only the calm scenario, for the costs.
+func MeasureCost(bin string, subnet, rounds int) (*RealRun, error) {
+	return runReal(bin, subnet, rounds)
+}
+
+func runReal(bin string, subnet, rounds int, scenarios ...func(*RealRun) error) (*RealRun, error) {
 	keys, err := fleet.NewPublisher()
 	if err != nil {
 		return nil, err
@@ -55,8 +64,8 @@
 	if err := f.StartNodes(); err != nil {
 		return nil, err
 	}
-	for _, scenario := range []func() error{r.measureDocument, r.calm, r.dying, r.stale, r.restart} {
-		if err := scenario(); err != nil {
+	for _, scenario := range append([]func(*RealRun) error{(*RealRun).measureDocument, (*RealRun).calm}, scenarios...) {
+		if err := scenario(r); err != nil {
 			return nil, err
 		}
 	}
@@ -126,7 +135,7 @@
 		return err
 	}
 	r.Busy, err = meter.over(func() error {
-		for range calmChanges {
+		for range Changes {
 			published, err := r.publish()
 			if err != nil {
 				return err
--- a/tools/convergence/summary.go
+++ b/tools/convergence/summary.go
@@ -31,8 +31,8 @@
 		}
 	}
 	idle := int64(r.Idle.CrossRegionPerSecond() * r.Busy.Over.Seconds())
-	s.platform = r.Busy.PlatformBytes / calmChanges
-	s.perChange = (r.Busy.CrossRegionBytes-idle)/calmChanges + s.platform
+	s.platform = r.Busy.PlatformBytes / Changes
+	s.perChange = (r.Busy.CrossRegionBytes-idle)/Changes + s.platform
 	far, regions := int64(0), map[string]bool{}
 	for _, v := range r.fleet.VMs {
 		if v.Region != r.fleet.PlatformRegion() {
