--- /dev/null
+++ b/config/compile_test.go
@@ -0,0 +1,19 @@
+package config
+
+import (
+	"bytes"
+	"testing"
+)
+
+// Guards against parsing that changes the text of a section: the node passes it
+// on to others, which check its digest.
+func TestCompileDoesNotChangeSections(t *testing.T) {
+	raw := []byte("{\n  // A comment.\n  \"section\": \"a\", \"owner\": \"team\",\n}\n")
+	before := bytes.Clone(raw)
+	if _, err := Compile([]Section{{Name: "a", Owner: "team", Raw: raw}}); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(raw, before) {
+		t.Errorf("the text became %q", raw)
+	}
+}
--- a/config/source.go
+++ b/config/source.go
@@ -20,7 +20,8 @@
 	if len(s.Raw) > MaxSectionBytes {
 		return nil, []Fault{{Section: s.Name, Rule: "section-size", Detail: fmt.Sprintf("%d bytes, at most %d", len(s.Raw), MaxSectionBytes)}}
 	}
-	std, err := hujson.Standardize(s.Raw)
+	// Standardize overwrites comments in its argument.
+	std, err := hujson.Standardize(bytes.Clone(s.Raw))
 	if err != nil {
 		return nil, []Fault{{Section: s.Name, Line: 1, Rule: "syntax", Detail: err.Error()}}
 	}
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/effect"
@@ -36,10 +37,8 @@
 	self := a.self.get()
 	view := a.table.View(now)
 	if len(view.All()) <= 1 {
-		for _, addr := range a.cfg.Seeds {
-			if addr != self.PeerAddr {
-				out.sendAddr(addr, &message.JoinRequest{From: self})
-			}
+		for _, addr := range a.someSeeds(self.PeerAddr) {
+			out.sendAddr(addr, &message.JoinRequest{From: self})
 		}
 		return
 	}
@@ -53,6 +52,14 @@
 	}
 }
 
+// someSeeds returns up to joinSeeds other seeds at random: each one answers with
+// its whole member table, 1.4 MB at 7,300 nodes.
+func (a *Agent) someSeeds(self string) []string {
+	seeds := slices.DeleteFunc(slices.Clone(a.cfg.Seeds), func(addr string) bool { return addr == self })
+	a.rng.fork().Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	return seeds[:min(len(seeds), joinSeeds)]
+}
+
 // onJoinTimer repeats the questions until the node is ready.
 func (a *Agent) onJoinTimer(now time.Time, out *effects) {
 	if a.join.isReady() {
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -24,6 +24,9 @@
 	gatewayAntiEntropyTicks = 10
 	// joinPeers is the number of peers whose version an empty node compares.
 	joinPeers = 3
+	// joinSeeds is the number of seeds that a starting node asks at a time; two,
+	// so that one dead seed does not cost a round.
+	joinSeeds = 2
 	// updateDelay coalesces member updates.
 	updateDelay = 50 * time.Millisecond
 	// maxUpdates bounds the records of one message, about 40 KB.
--- a/tools/capacity/virtual_point.go
+++ b/tools/capacity/virtual_point.go
@@ -9,7 +9,9 @@
 )
 
 const (
-	settle = 10 * time.Second
+	// settle lets the member tables agree after the start: until then their
+	// exchange dominates the traffic.
+	settle = 60 * time.Second
 	// idleTime covers one comparison of member tables, which each node makes
 	// every 30 s.
 	idleTime   = 30 * time.Second
