--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: build format vet staticcheck test soak demo bench-call bench-flood clean
+.PHONY: build format vet staticcheck test soak demo bench-call bench-flood bench-convergence bench-capacity clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./tools/...
@@ -43,5 +43,11 @@
 	go build -o $(BIN)/ ./tools/benchflood
 	$(BIN)/benchflood --csv $(BIN)/bench-flood.csv
 
+bench-convergence: build
+	timeout 120 $(BIN)/benchconvergence --bin $(BIN)
+
+bench-capacity: build
+	timeout 150 $(BIN)/benchcapacity --bin $(BIN)
+
 clean:
 	rm -rf $(BIN)
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -20,7 +20,7 @@
 	pauseIntervals = 3
 	// settleIntervals is the number of heartbeat intervals after the start in
 	// which a node learns of its peers before it may act as a reader.
-	settleIntervals = 2
+	settleIntervals = 3
 	// antiEntropyTicks is the number of ticks between comparisons of the
 	// member table with a peer in the same region.
 	antiEntropyTicks = 10
@@ -31,6 +31,9 @@
 	gatewayAntiEntropyTicks = 10
 	// joinPeers is the number of peers whose version an empty node compares.
 	joinPeers = 3
+	// joinSeeds is the number of seeds that a starting node asks at a time. With
+	// two, a mass restart left more nodes that took themselves for readers.
+	joinSeeds = 3
 	// updateDelay coalesces member updates.
 	updateDelay = 50 * time.Millisecond
 	// maxUpdates bounds the records of one message, about 40 KB.
@@ -70,10 +73,13 @@
 	// maxRefused bounds the remembered refused versions.
 	maxRefused = 64
 
-	// watchWait is how long a reader's watch waits in the platform's region.
+	// watchWait is how long a reader's watch waits. It is shorter than
+	// reader.StaleAfter, so that a quiet platform does not look unread.
 	watchWait = 2 * time.Second
-	// watchWaitFar is the same in other regions.
-	watchWaitFar = 20 * time.Second
+	// farWatchTime is how long the readers of another region watch the
+	// platform after no node seemed to read it. Their own reads hide whether
+	// the platform's region reads again, so the choice must expire.
+	farWatchTime = time.Minute
 	// vmListInterval is the time between reads of the VM list in the
 	// platform's region.
 	vmListInterval = 5 * time.Second
--- a/internal/control/platform_state.go
+++ b/internal/control/platform_state.go
@@ -23,6 +23,9 @@
 	// fallbackWanted is set if a version that a peer announced is not to be
 	// had from peers; the armed fallback then reads in any case.
 	fallbackWanted bool
+	// readFarUntil is how long the readers of another region than the
+	// platform's watch it themselves.
+	readFarUntil time.Time
 	// readerNotBefore keeps a starting node from reading while it knows only
 	// part of the fleet; aloneNotBefore while it knows no other node.
 	readerNotBefore time.Time
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -53,7 +53,9 @@
 		case <-time.After(idleLimit):
 			return
 		case m := <-l.queue:
-			if l.writeFrom(ctx, m) {
+			start := time.Now()
+			l.writeFrom(ctx, m)
+			if time.Since(start) > steadyAfter {
 				failures = 0
 				continue
 			}
@@ -66,18 +68,18 @@
 }
 
 // writeFrom dials, writes m and then the queue until the connection fails, goes
-// silent or is idle. It reports whether the connection had been established.
-func (l *link) writeFrom(ctx context.Context, m message.Message) bool {
-	raw, err := l.dialer.DialContext(ctx, "tcp", l.addr)
+// silent or is idle.
+func (l *link) writeFrom(ctx context.Context, m message.Message) {
+	raw, err := l.dial(ctx)
 	if err != nil {
-		return false
+		return
 	}
-	conn := jsonrpc2.NewConn(ctx, newStream(&countingConn{Conn: raw, traffic: l.traffic, crossRegion: l.crossRegion}), nopHandler{})
+	conn := jsonrpc2.NewConn(ctx, newStream(raw, l.traffic), nopHandler{}, quiet)
 	defer func() { _ = conn.Close() }()
 	l.probing.Store(false)
 	for {
 		if err := conn.Notify(ctx, string(m.Kind()), m); err != nil {
-			return true
+			return
 		}
 		if len(l.queue) == 0 {
 			l.probe(ctx, conn)
@@ -85,15 +87,33 @@
 		select {
 		case m = <-l.queue:
 		case <-conn.DisconnectNotify():
-			return true
+			return
 		case <-time.After(idleLimit):
-			return true
+			return
 		case <-ctx.Done():
-			return true
+			return
 		}
 	}
 }
 
+// dial returns a counted connection, compressed if it leaves the region.
+func (l *link) dial(ctx context.Context) (net.Conn, error) {
+	raw, err := l.dialer.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countingConn{Conn: raw, traffic: l.traffic, crossRegion: l.crossRegion}
+	if !l.crossRegion {
+		return counted, nil
+	}
+	compressed, err := newCompressedConn(counted)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return compressed, nil
+}
+
 // probe asks for a sign of life after a burst of messages and closes the
 // connection if none comes: messages themselves are not answered on it.
 func (l *link) probe(ctx context.Context, conn *jsonrpc2.Conn) {
@@ -111,7 +131,7 @@
 	}()
 }
 
-// backOff waits after a failed dial and reports whether to go on.
+// backOff waits after a failed dial or a connection that ended at once, and reports whether to go on.
 func (l *link) backOff(ctx context.Context, failures int) bool {
 	d := min(redialBase<<min(failures, 6), redialMax)
 	d = d/2 + rand.N(d)
