--- a/internal/routing/assessment.go
+++ b/internal/routing/assessment.go
@@ -9,8 +9,10 @@
 // assessment is the node's view of one candidate at one moment.
 type assessment struct {
 	// member points into the view, which is immutable.
-	member   *member.Member
-	state    state
+	member *member.Member
+	state  state
+	// tried is set if the call has tried the upstream and it is in service.
+	tried    bool
 	expected float64
 	ramp     float64
 }
@@ -24,9 +26,6 @@
 	case m.Boot == 0:
 		a.state = stateJoining
 		return a
-	case q.Exclude[m.VM]:
-		a.state = stateExcluded
-		return a
 	}
 	s := p.beliefs.shard(m.VM)
 	s.mu.Lock()
@@ -39,5 +38,9 @@
 	if m.Status == member.Suspect && a.state != stateLeaving {
 		a.state = stateSuspect
 	}
+	if q.Exclude[m.VM] {
+		a.tried = a.state == stateServing || a.state == stateBusy || a.state == stateProbe
+		a.state = stateExcluded
+	}
 	return a
 }
--- a/internal/routing/field.go
+++ b/internal/routing/field.go
@@ -6,7 +6,10 @@
 type field struct {
 	serving, busy, probes, out [len(scopes)]pool
 	left                       LeftOut
-	known                      int
+	// triedNear counts upstreams in service in the region that the call
+	// has tried: they make the region busy, not down.
+	triedNear int
+	known     int
 }
 
 func (f *field) add(scope int, a assessment, rng *rand.Rand) {
@@ -19,6 +22,10 @@
 		f.busy[scope].add(a, rng)
 	case stateProbe:
 		f.probes[scope].add(a, rng)
+	case stateExcluded:
+		if a.tried && scope < 2 {
+			f.triedNear++
+		}
 	case stateFailed, stateSilent, stateSuspect:
 		f.out[scope].add(a, rng)
 	}
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -61,7 +61,7 @@
 			return scope, nearReason(scope, f), &f.serving[scope]
 		}
 	}
-	busy := f.busy[0].count+f.busy[1].count > 0
+	busy := f.busy[0].count+f.busy[1].count+f.triedNear > 0
 	if f.serving[2].count > 0 && p.worthRemote(now, q, busy) {
 		if busy {
 			return 2, ReasonRegionBusy, &f.serving[2]
--- a/internal/routing/picker_test.go
+++ b/internal/routing/picker_test.go
@@ -308,6 +308,28 @@
 	}
 }
 
+// Guards against retries that return to an upstream that was tried, and
+// against taking a region for down because its upstreams were tried.
+func TestPickerExcludesTriedUpstreams(t *testing.T) {
+	w := newWorld(false, vm("x", "a1", warm), vm("far", "b1", warm))
+	w.query.Exclude = map[string]bool{"x": true}
+	w.query.Bytes = 100 << 10
+	served := func(string) Result { return answered(time.Millisecond, nil) }
+	if tried := w.run(t, 1, served); tried["none"] != 1 {
+		t.Errorf("x was tried and works: %v", tried)
+	}
+	for range 3 {
+		w.picker.Finish(w.now, w.byVM["x"], Result{Outcome: OutcomeFailed})
+	}
+	if down := w.run(t, 1, served); down["far"] != 1 {
+		t.Errorf("x was tried and is down: %v", down)
+	}
+	w.query.Bytes = 10 << 20
+	if down := w.run(t, 1, served); down["none"] != 1 {
+		t.Errorf("x was tried, is down and no other upstream is worth the bytes: %v", down)
+	}
+}
+
 // BenchmarkPick measures a choice among 20 upstreams, the mean at 7,300
 // servers and 360 services.
 func BenchmarkPick(b *testing.B) {
