Extend a sign of leaving while signs keep coming

Cause: a sign of leaving counted for 60 s from the first one, so an upstream that drained longer got new work although the VM list still named it as leaving (TestPickerRemembersRepeatedLeaving failed first). Change: each sign restarts the 60 s. Command: go test -race ./internal/routing passes.

--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -70,10 +70,12 @@
 	}
 }
 
+// leave records a sign of leaving. Later signs extend the time that it counts.
 func (b *belief) leave(now time.Time, source LeaveSource) {
 	if b.leavingAt.IsZero() {
-		b.leavingAt, b.source = now, source
+		b.source = source
 	}
+	b.leavingAt = now
 }
 
 // ObserveLeaving records a sign from any source that the process of a VM with
--- a/internal/routing/picker_rules_test.go
+++ b/internal/routing/picker_rules_test.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// Guards against new work for an upstream that takes longer to leave than one
+// sign is remembered, while signs keep coming.
+func TestPickerRemembersRepeatedLeaving(t *testing.T) {
+	w := newWorld(false, pair()...)
+	for range 3 {
+		w.picker.ObserveLeaving(w.now, "x", w.byVM["x"].Boot, LeaveVMList)
+		w.now = w.now.Add(40 * time.Second)
+	}
+	counts := w.run(t, 100, func(string) Result { return answered(time.Millisecond, nil) })
+	if counts["x"] > 0 {
+		t.Errorf("calls by VM: %v", counts)
+	}
+}
+
 // Guards against races between choices and observations, and against calls
 // that stay counted as outstanding.
 func TestPickerConcurrently(t *testing.T) {
