Report the first sign that an upstream leaves

Cause: the source of a sign of leaving was stored but could not be read for the log line. Change: Picker.Leaving returns it. Conclusion: no change of choices.

--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -90,6 +90,15 @@
 	})
 }
 
+// Leaving returns where the first sign came from that a VM leaves, if any
+// counts at a time.
+func (p *Picker) Leaving(now time.Time, vm string) (source LeaveSource, leaving bool) {
+	p.beliefs.shard(vm).with(vm, func(b *belief) {
+		source, leaving = b.source, !b.leavingAt.IsZero() && now.Sub(b.leavingAt) < leavingMemory
+	})
+	return source, leaving
+}
+
 // ObserveReport records a load report that came without an answer.
 func (p *Picker) ObserveReport(now time.Time, vm string, r LoadReport) {
 	p.beliefs.shard(vm).with(vm, func(b *belief) {
--- a/internal/routing/picker_rules_test.go
+++ b/internal/routing/picker_rules_test.go
@@ -94,6 +94,9 @@
 		w.picker.ObserveLeaving(w.now, "x", w.byVM["x"].Boot, LeaveVMList)
 		w.now = w.now.Add(40 * time.Second)
 	}
+	if source, leaving := w.picker.Leaving(w.now, "x"); !leaving || source != LeaveVMList {
+		t.Errorf("leaving %t by %q", leaving, source)
+	}
 	counts := w.run(t, 100, func(string) Result { return answered(time.Millisecond, nil) })
 	if counts["x"] > 0 {
 		t.Errorf("calls by VM: %v", counts)
