--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -70,10 +70,12 @@
 	}
 }
 
+// leave records a sign of leaving. Later signs extend the time that it counts.
 func (b *belief) leave(now time.Time, source LeaveSource) {
 	if b.leavingAt.IsZero() {
-		b.leavingAt, b.source = now, source
+		b.source = source
 	}
+	b.leavingAt = now
 }
 
 // ObserveLeaving records a sign from any source that the process of a VM with
@@ -88,6 +90,15 @@
 	})
 }
 
+// Leaving returns where the first sign came from that a VM leaves, if any
+// counts at a time.
+func (p *Picker) Leaving(now time.Time, vm string) (source LeaveSource, leaving bool) {
+	p.beliefs.shard(vm).with(vm, func(b *belief) {
+		source, leaving = b.source, !b.leavingAt.IsZero() && now.Sub(b.leavingAt) < leavingMemory
+	})
+	return source, leaving
+}
+
 // ObserveReport records a load report that came without an answer.
 func (p *Picker) ObserveReport(now time.Time, vm string, r LoadReport) {
 	p.beliefs.shard(vm).with(vm, func(b *belief) {
