Test that an agent is safe for concurrent use

The virtual fleet calls an agent from one goroutine only, so its run under the race detector does not show missing locks; this test calls one agent from four.

--- /dev/null
+++ b/internal/control/agent_test.go
@@ -0,0 +1,48 @@
+package control_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/control"
+	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/message"
+	"github.com/filbertpier/filbertpier/internal/telemetry"
+	"github.com/filbertpier/filbertpier/internal/testkit"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// Guards against state of the agent that is not under a lock: the runtime calls
+// it from several goroutines, the virtual fleet from one only.
+func TestAgentIsSafeForConcurrentUse(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a := control.New(control.Config{
+		Self: record(0), Keys: testkit.NewPublisher().Keys(), Seed: 1,
+		Invariants: telemetry.NewInvariants(telemetry.NewMetrics(), true),
+	}, snapshot.NewStore())
+	a.Start(now)
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Go(func() {
+			for i := range 100 {
+				at := now.Add(time.Duration(i) * 500 * time.Millisecond)
+				m := record(1 + (g*100+i)%40)
+				m.Incarnation = uint64(i)
+				m.Status = member.Status(i % 3)
+				a.HandleMessage(at, &message.Heartbeat{From: m, ZoneAgesMs: map[string]int64{m.Zone: 5}})
+				a.HandleMessage(at, &message.MemberUpdates{VM: m.VM, Members: []member.Member{m}})
+				a.HandleMessage(at, &message.JoinRequest{From: m})
+				a.HandleTimer(at, effect.Timer{Kind: effect.TimerTick})
+				a.HandleTimer(at, effect.Timer{Kind: effect.TimerFlushUpdates})
+				a.CatchUp(at, snapshot.ID{Version: uint64(i + 1)})
+				a.ZoneSuspect(at, m.Zone)
+			}
+		})
+	}
+	wg.Wait()
+	if got := len(a.Table().All()); got != 41 {
+		t.Errorf("%d members known, want 41", got)
+	}
+}
