--- a/tools/convergence/real_run.go
+++ b/tools/convergence/real_run.go
@@ -14,6 +14,9 @@
 	// idleWindow is how long the idle fleet is measured.
 	idleWindow = 8 * time.Second
 	realStale  = 3 * time.Second
+	// settleTime lets the member tables agree after the start; their exchange
+	// would count as idle cost.
+	settleTime = 15 * time.Second
 )
 
 // RealRun measures one fleet of separate processes on loopback behind the
@@ -128,7 +131,7 @@
 
 // calm measures the idle fleet, and then one change after another.
 func (r *RealRun) calm() error {
-	pause(realWindow)
+	pause(settleTime)
 	meter := Meter{fleet: r.fleet}
 	var err error
 	if r.Idle, err = meter.over(func() error { pause(idleWindow); return nil }); err != nil {
