Move HTTP plumbing of the data plane into a package of its own

Result: go test -race ./internal/dataplane/... ./internal/quarantine ./internal/once passes (47 s for dataplane).

--- a/internal/dataplane/crash_guard.go
+++ b/internal/dataplane/crash_guard.go
@@ -18,7 +18,7 @@
 	control Control
 	table   *quarantine.Table
 	runs    *quarantine.Runs
-	reports *crashReports
+	reports *quarantine.Reports
 	// alone holds one token for the suspect that may run.
 	alone chan struct{}
 	// transport is for suspects; it does not reuse connections.
@@ -28,7 +28,7 @@
 func newCrashGuard(cfg Config, control Control) *crashGuard {
 	g := &crashGuard{
 		cfg: cfg, control: control,
-		table: quarantine.NewTable(), runs: quarantine.NewRuns(), reports: newCrashReports(),
+		table: quarantine.NewTable(), runs: quarantine.NewRuns(), reports: quarantine.NewReports(),
 		alone: make(chan struct{}, 1), transport: newTransport(cfg.LocalIP, 0),
 	}
 	g.transport.DisableKeepAlives = true
@@ -66,8 +66,8 @@
 			vms = append(vms, m.VM)
 		}
 	}
-	id, acknowledged := g.reports.open(vms)
-	defer g.reports.forget(id)
+	id, acknowledged := g.reports.Open(vms)
+	defer g.reports.Forget(id)
 	msg := &message.CrashReport{VM: self.VM, ID: id, Suspicions: c.Suspicions}
 	for _, m := range view.Service(self.Service) {
 		if m.VM != self.VM && m.Boot != 0 {
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -28,7 +28,7 @@
 			return err
 		}
 		failed = afterAttempts(failed, p)
-		if x.started || !s.retrier.Again(time.Now(), Attempt{Call: x.call, Number: n, Problem: p}) || !x.body.rewind() {
+		if x.started || !s.retrier.Again(time.Now(), Attempt{Call: x.call, Number: n, Problem: p}) || !x.body.Rewind() {
 			return failed
 		}
 		tried[d.Member.VM] = true
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
 	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
@@ -19,7 +20,7 @@
 	r    *http.Request
 	call *call.Call
 	snap *snapshot.Snapshot
-	body *body
+	body *relay.Body
 	// base is the context in which the call runs; it ends when the caller
 	// leaves unless the call has an idempotency key that this node owns.
 	base context.Context
@@ -34,12 +35,12 @@
 func (x *exchange) fingerprint() once.Fingerprint {
 	h := sha256.New()
 	var n [8]byte
-	for _, part := range [][]byte{[]byte(x.r.Method), []byte(x.r.URL.EscapedPath()), []byte(x.r.URL.RawQuery), x.body.head} {
+	for _, part := range [][]byte{[]byte(x.r.Method), []byte(x.r.URL.EscapedPath()), []byte(x.r.URL.RawQuery), x.body.Head} {
 		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
 		_, _ = h.Write(n[:])
 		_, _ = h.Write(part)
 	}
-	binary.BigEndian.PutUint64(n[:], uint64(x.body.length))
+	binary.BigEndian.PutUint64(n[:], uint64(x.body.Length))
 	_, _ = h.Write(n[:])
 	return once.Fingerprint(h.Sum(nil))
 }
@@ -54,8 +55,8 @@
 	}
 	var out [16]byte
 	binary.BigEndian.PutUint64(out[:8], d.Sum64())
-	d.ResetWithSeed(uint64(x.body.length))
-	_, _ = d.Write(x.body.head)
+	d.ResetWithSeed(uint64(x.body.Length))
+	_, _ = d.Write(x.body.Head)
 	binary.BigEndian.PutUint64(out[8:], d.Sum64())
 	return out
 }
--- a/internal/dataplane/forward.go
+++ b/internal/dataplane/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
 	"github.com/filbertpier/filbertpier/internal/member"
 )
 
@@ -70,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	if p := peerProblem(resp); p != nil {
+	if p := relay.PeerProblem(resp); p != nil {
 		return p
 	}
 	return s.copyAnswer(ctx, x, resp)
@@ -86,14 +87,14 @@
 		Host:   in.Host,
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	copyHeader(out.Header, in.Header)
+	relay.CopyHeader(out.Header, in.Header)
 	out.Header.Del(call.HeaderTarget)
 	out.Header.Del(call.HeaderExpires)
 	out.Header.Set(call.HeaderRank, x.call.Rank.Name)
 	out.Header.Set(call.HeaderDeadline, strconv.FormatInt(time.Until(x.call.Deadline).Milliseconds(), 10))
-	x.body.attach(out)
+	x.body.Attach(out)
 	if !x.call.Route.Idempotent {
-		preventReplay(out)
+		relay.PreventReplay(out)
 	}
 	return out.WithContext(ctx)
 }
@@ -110,7 +111,7 @@
 	_ = rc.SetWriteDeadline(x.call.Deadline)
 	h := x.w.Header()
 	for name, values := range resp.Header {
-		if !hopHeaders[name] && !strings.HasPrefix(name, call.HeaderPrefix) {
+		if !relay.IsHopHeader(name) && !strings.HasPrefix(name, call.HeaderPrefix) {
 			h[name] = values
 		}
 	}
@@ -118,10 +119,10 @@
 	h.Set(call.HeaderRan, string(call.RanYes))
 	x.started = true
 	x.w.WriteHeader(resp.StatusCode)
-	buf := s.buffers.get()
-	defer s.buffers.put(buf)
-	out := &answerWriter{w: x.w}
-	if _, err := io.CopyBuffer(out, resp.Body, *buf); out.err != nil {
+	buf := s.buffers.Get()
+	defer s.buffers.Put(buf)
+	out := &relay.AnswerWriter{W: x.w}
+	if _, err := io.CopyBuffer(out, resp.Body, *buf); out.Err != nil {
 		return call.NewProblem(call.ProblemCancelled, call.RanYes, "the caller does not read the answer", err)
 	} else if err != nil {
 		return failure(x, ctx, call.RanUnknown, err)
--- a/internal/dataplane/keyed.go
+++ b/internal/dataplane/keyed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
 	"github.com/filbertpier/filbertpier/internal/member"
 	"github.com/filbertpier/filbertpier/internal/once"
 )
@@ -54,7 +55,7 @@
 		}
 		return err
 	}
-	if p := peerProblem(resp); p != nil {
+	if p := relay.PeerProblem(resp); p != nil {
 		x.final = resp.Header.Get(call.HeaderOwner) == strconv.FormatUint(key.Boot, 10)
 		if p.Type == call.ProblemTargetMismatched {
 			return s.ownerGone(x, key, "another node has the owner's address")
@@ -98,13 +99,13 @@
 		s.keys.Finish(time.Now(), e, result)
 		s.cfg.Decisions.Line("key-finished", "route", x.call.Route.Name, "state", result.State.String(), "kept", result.Answer != nil)
 	}()
-	rec := &answerRecorder{ResponseWriter: x.w}
+	rec := &relay.AnswerRecorder{ResponseWriter: x.w}
 	x.w, x.base = rec, context.WithoutCancel(x.base)
 	err := s.serveLocal(x)
 	var p *call.Problem
 	switch {
 	case err == nil:
-		result = once.Result{State: once.StateDone, Answer: rec.answer()}
+		result = once.Result{State: once.StateDone, Answer: rec.Answer()}
 	case errors.As(err, &p) && p.Ran == call.RanNo:
 		result.State = once.StateRefused
 	}
@@ -134,7 +135,7 @@
 		return call.NewProblem(call.ProblemAnswerNotKept, call.RanYes, "", nil)
 	}
 	h := x.w.Header()
-	copyHeader(h, r.Answer.Header)
+	relay.CopyHeader(h, r.Answer.Header)
 	h.Set(call.HeaderVersion, x.snap.ID.String())
 	h.Set(call.HeaderRan, string(call.RanYes))
 	x.started = true
--- a/internal/dataplane/limits.go
+++ b/internal/dataplane/limits.go
@@ -12,17 +12,10 @@
 	idleTimeout = 60 * time.Second
 	// dialTimeout bounds a connection attempt.
 	dialTimeout = time.Second
-	// copyBufferBytes is the size of the pooled buffers that bodies pass
-	// through.
-	copyBufferBytes = 32 << 10
 	// defaultConnections is used until a version tells the upstream's limit.
 	defaultConnections = 100
 	// maxAttempts bounds the upstreams that one call is sent to.
 	maxAttempts = 3
-	// replayBytes bounds the request bodies kept for another attempt.
-	replayBytes = 64 << 10
-	// maxProblemBytes bounds the problem details read from another node.
-	maxProblemBytes = 16 << 10
 	// viewWait and viewWaits bound the wait of a call for a first upstream. A
 	// view of the fleet is rebuilt at most every 100 ms.
 	viewWait  = 120 * time.Millisecond
--- a/internal/dataplane/answer_recorder.go
+++ b/internal/dataplane/relay/answer_recorder.go
@@ -1,4 +1,4 @@
-package dataplane
+package relay
 
 import (
 	"net/http"
@@ -8,9 +8,9 @@
 	"github.com/filbertpier/filbertpier/internal/once"
 )
 
-// answerRecorder passes an answer on and keeps a copy. It goes on recording
+// AnswerRecorder passes an answer on and keeps a copy. It goes on recording
 // when the caller has left. It belongs to one goroutine.
-type answerRecorder struct {
+type AnswerRecorder struct {
 	http.ResponseWriter
 	status  int
 	header  map[string][]string
@@ -20,7 +20,7 @@
 }
 
 // WriteHeader implements http.ResponseWriter.
-func (r *answerRecorder) WriteHeader(status int) {
+func (r *AnswerRecorder) WriteHeader(status int) {
 	r.status = status
 	r.header = map[string][]string{}
 	for name, values := range r.Header() {
@@ -33,7 +33,7 @@
 
 // Write implements http.ResponseWriter. It fails only if nothing is left to do:
 // the caller has left and the answer is too large to be kept.
-func (r *answerRecorder) Write(p []byte) (int, error) {
+func (r *AnswerRecorder) Write(p []byte) (int, error) {
 	r.size += len(p)
 	if r.size <= once.MaxAnswerBytes {
 		r.body = append(r.body, p...)
@@ -50,9 +50,10 @@
 }
 
 // Unwrap lets http.ResponseController reach the underlying writer.
-func (r *answerRecorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+func (r *AnswerRecorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
 
-func (r *answerRecorder) answer() *once.Answer {
+// Answer returns the copy, or nil if the answer was too large to be kept.
+func (r *AnswerRecorder) Answer() *once.Answer {
 	if r.size > once.MaxAnswerBytes {
 		return nil
 	}
--- a/internal/dataplane/body.go
+++ b/internal/dataplane/relay/body.go
@@ -1,4 +1,4 @@
-package dataplane
+package relay
 
 import (
 	"bytes"
@@ -10,25 +10,25 @@
 	"github.com/filbertpier/filbertpier/internal/call"
 )
 
-// body is a caller's request body. A body of up to replayBytes is kept and can
+// Body is a caller's request body. A body of up to replayBytes is kept and can
 // be sent again; a larger one is streamed and can be sent again only while no
 // byte of it has been read. It is safe for concurrent use.
-type body struct {
-	head []byte
-	// whole is set if head is the complete body.
-	whole  bool
+type Body struct {
+	Head []byte
+	// Whole is set if Head is the complete body.
+	Whole  bool
 	rest   io.Reader
-	length int64
+	Length int64
 	// mu guards current.
 	mu      sync.Mutex
 	current *bodyStream
 }
 
-// readBody reads the first replayBytes of a request's body. It returns a
+// ReadBody reads the first replayBytes of a request's body. It returns a
 // *call.Problem.
-func readBody(r *http.Request) (*body, error) {
+func ReadBody(r *http.Request) (*Body, error) {
 	if r.ContentLength == 0 {
-		return &body{whole: true}, nil
+		return &Body{Whole: true}, nil
 	}
 	size := int64(replayBytes)
 	if r.ContentLength > 0 {
@@ -36,42 +36,42 @@
 	}
 	head := make([]byte, size)
 	n, err := io.ReadFull(r.Body, head)
-	b := &body{head: head[:n], rest: r.Body, length: r.ContentLength}
+	b := &Body{Head: head[:n], rest: r.Body, Length: r.ContentLength}
 	switch {
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && r.ContentLength < 0:
-		b.whole = true
+		b.Whole = true
 	case err != nil:
 		return nil, call.NewProblem(call.ProblemBadRequest, call.RanNo, "the request body ended early", err)
 	case r.ContentLength >= 0:
-		b.whole = int64(n) == r.ContentLength
+		b.Whole = int64(n) == r.ContentLength
 	}
-	if b.whole {
-		b.length = int64(n)
+	if b.Whole {
+		b.Length = int64(n)
 	}
 	return b, nil
 }
 
-// attach sets the body of an outgoing request.
-func (b *body) attach(out *http.Request) {
-	if b.whole && len(b.head) == 0 {
+// Attach sets the body of an outgoing request.
+func (b *Body) Attach(out *http.Request) {
+	if b.Whole && len(b.Head) == 0 {
 		out.Body = http.NoBody
 		return
 	}
-	if b.whole {
-		out.ContentLength = int64(len(b.head))
-		out.Body = io.NopCloser(bytes.NewReader(b.head))
+	if b.Whole {
+		out.ContentLength = int64(len(b.Head))
+		out.Body = io.NopCloser(bytes.NewReader(b.Head))
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.current = &bodyStream{src: io.MultiReader(bytes.NewReader(b.head), b.rest)}
-	out.ContentLength, out.Body = b.length, b.current
+	b.current = &bodyStream{src: io.MultiReader(bytes.NewReader(b.Head), b.rest)}
+	out.ContentLength, out.Body = b.Length, b.current
 }
 
-// rewind reports whether the body can be sent again from its beginning. The
+// Rewind reports whether the body can be sent again from its beginning. The
 // reader of the earlier attempt then gets no more data.
-func (b *body) rewind() bool {
-	if b.whole {
+func (b *Body) Rewind() bool {
+	if b.Whole {
 		return true
 	}
 	b.mu.Lock()
--- a/internal/dataplane/body_stream.go
+++ b/internal/dataplane/relay/body_stream.go
@@ -1,4 +1,4 @@
-package dataplane
+package relay
 
 import (
 	"io"
--- a/internal/dataplane/hop_headers.go
+++ b/internal/dataplane/relay/hop_headers.go
@@ -1,4 +1,4 @@
-package dataplane
+package relay
 
 import "net/http"
 
@@ -9,7 +9,11 @@
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 }
 
-func copyHeader(dst, src http.Header) {
+// IsHopHeader reports whether a header belongs to one connection.
+func IsHopHeader(name string) bool { return hopHeaders[name] }
+
+// CopyHeader copies the headers that do not belong to one connection.
+func CopyHeader(dst, src http.Header) {
 	for name, values := range src {
 		if !hopHeaders[name] {
 			dst[name] = values
--- a/internal/dataplane/peer_problem.go
+++ b/internal/dataplane/relay/peer_problem.go
@@ -1,4 +1,4 @@
-package dataplane
+package relay
 
 import (
 	"encoding/json"
@@ -8,10 +8,10 @@
 	"github.com/filbertpier/filbertpier/internal/call"
 )
 
-// peerProblem returns the problem that another node answered with, or nil if
+// PeerProblem returns the problem that another node answered with, or nil if
 // the call ran and the answer is the upstream's. Nodes set the header on every
 // answer; without it the address belongs to something else by now.
-func peerProblem(resp *http.Response) *call.Problem {
+func PeerProblem(resp *http.Response) *call.Problem {
 	ran := call.Ran(resp.Header.Get(call.HeaderRan))
 	if ran == call.RanYes {
 		return nil
--- a/internal/dataplane/progress_writer.go
+++ b/internal/dataplane/relay/progress_writer.go
@@ -1,4 +1,4 @@
-package dataplane
+package relay
 
 import (
 	"net/http"
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// progressWriter answers a call of another node. Until the final header it
+// ProgressWriter answers a call of another node. Until the final header it
 // sends an informational response at intervals, so that the sender can tell a
 // slow upstream from a connection that went silent. The header map is its own,
 // because informational responses are written by another goroutine.
-type progressWriter struct {
+type ProgressWriter struct {
 	w        http.ResponseWriter
 	header   http.Header
 	stopOnce sync.Once
@@ -19,13 +19,14 @@
 	wrote    bool
 }
 
-func newProgressWriter(w http.ResponseWriter, interval time.Duration) *progressWriter {
-	p := &progressWriter{w: w, header: http.Header{}, stop: make(chan struct{}), stopped: make(chan struct{})}
+// NewProgressWriter starts the informational responses.
+func NewProgressWriter(w http.ResponseWriter, interval time.Duration) *ProgressWriter {
+	p := &ProgressWriter{w: w, header: http.Header{}, stop: make(chan struct{}), stopped: make(chan struct{})}
 	go p.run(interval)
 	return p
 }
 
-func (p *progressWriter) run(interval time.Duration) {
+func (p *ProgressWriter) run(interval time.Duration) {
 	defer close(p.stopped)
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -39,18 +40,18 @@
 	}
 }
 
-// end stops the informational responses. It can be called more than once.
-func (p *progressWriter) end() {
+// End stops the informational responses. It can be called more than once.
+func (p *ProgressWriter) End() {
 	p.stopOnce.Do(func() { close(p.stop) })
 	<-p.stopped
 }
 
 // Header implements http.ResponseWriter.
-func (p *progressWriter) Header() http.Header { return p.header }
+func (p *ProgressWriter) Header() http.Header { return p.header }
 
 // WriteHeader implements http.ResponseWriter.
-func (p *progressWriter) WriteHeader(status int) {
-	p.end()
+func (p *ProgressWriter) WriteHeader(status int) {
+	p.End()
 	p.wrote = true
 	h := p.w.Header()
 	for name, values := range p.header {
@@ -60,7 +61,7 @@
 }
 
 // Write implements http.ResponseWriter.
-func (p *progressWriter) Write(b []byte) (int, error) {
+func (p *ProgressWriter) Write(b []byte) (int, error) {
 	if !p.wrote {
 		p.WriteHeader(http.StatusOK)
 	}
@@ -68,4 +69,4 @@
 }
 
 // Unwrap lets http.ResponseController reach the underlying writer.
-func (p *progressWriter) Unwrap() http.ResponseWriter { return p.w }
+func (p *ProgressWriter) Unwrap() http.ResponseWriter { return p.w }
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
 	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/internal/routing"
@@ -22,7 +23,7 @@
 	limiter  *admission.Limiter
 	peers    *http.Transport
 	upstream *http.Transport
-	buffers  bufferPool
+	buffers  relay.BufferPool
 	retrier  Retrier
 	keys     *once.Table
 	crashes  *crashGuard
@@ -42,7 +43,7 @@
 		limiter:  admission.NewLimiter(0),
 		peers:    newTransport(cfg.LocalIP, 0),
 		upstream: newTransport(cfg.LocalIP, defaultConnections),
-		buffers:  newBufferPool(),
+		buffers:  relay.NewBufferPool(),
 		retrier:  attemptLimit{max: maxAttempts},
 		keys:     once.NewTable(cfg.Keys),
 	}
@@ -79,7 +80,7 @@
 	case *message.CrashReport:
 		s.crashes.onReport(time.Now(), m)
 	case *message.CrashAck:
-		s.crashes.reports.onAck(m)
+		s.crashes.reports.Acknowledge(m.ID, m.VM)
 	default:
 		return false
 	}
@@ -93,8 +94,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	if r.Header.Get(call.HeaderTarget) != "" {
-		p := newProgressWriter(w, progressInterval)
-		defer p.end()
+		p := relay.NewProgressWriter(w, progressInterval)
+		defer p.End()
 		p.Header().Set(call.HeaderCall, r.Header.Get(call.HeaderCall))
 		w = p
 	}
@@ -146,10 +147,10 @@
 	x.call = c
 	c.Version = required
 	s.cfg.Invariants.Check(!x.snap.ID.Less(required), "served-version", "serving %s, required %s", x.snap.ID, required)
-	if x.body, err = readBody(x.r); err != nil {
+	if x.body, err = relay.ReadBody(x.r); err != nil {
 		return err
 	}
-	if !x.body.whole {
+	if !x.body.Whole {
 		// The HTTP server would otherwise discard the rest of the body when the
 		// answer begins, while it is still being sent to the upstream.
 		_ = http.NewResponseController(x.w).EnableFullDuplex()
--- a/internal/dataplane/crash_reports.go
+++ b/internal/quarantine/reports.go
@@ -1,27 +1,26 @@
-package dataplane
+package quarantine
 
 import (
 	"sync"
-
-	"github.com/filbertpier/filbertpier/internal/message"
 )
 
-// crashReports knows the reports that wait for acknowledgements. Crashes are
+// Reports knows the reports that wait for acknowledgements. Crashes are
 // rare, so it has one lock. It is safe for concurrent use.
-type crashReports struct {
+type Reports struct {
 	// mu guards next and pending.
 	mu      sync.Mutex
 	next    uint64
 	pending map[uint64]*pendingReport
 }
 
-func newCrashReports() *crashReports {
-	return &crashReports{pending: map[uint64]*pendingReport{}}
+// NewReports returns an empty set.
+func NewReports() *Reports {
+	return &Reports{pending: map[uint64]*pendingReport{}}
 }
 
-// open adds a report to some nodes; the channel is closed when all have
+// Open adds a report to some nodes; the channel is closed when all have
 // acknowledged it.
-func (c *crashReports) open(vms []string) (uint64, <-chan struct{}) {
+func (c *Reports) Open(vms []string) (uint64, <-chan struct{}) {
 	p := &pendingReport{waiting: map[string]bool{}, done: make(chan struct{})}
 	for _, vm := range vms {
 		p.waiting[vm] = true
@@ -36,20 +35,22 @@
 	return c.next, p.done
 }
 
-func (c *crashReports) forget(id uint64) {
+// Forget removes a report.
+func (c *Reports) Forget(id uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.pending, id)
 }
 
-func (c *crashReports) onAck(m *message.CrashAck) {
+// Acknowledge notes that a node has recorded a report.
+func (c *Reports) Acknowledge(id uint64, vm string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p, ok := c.pending[m.ID]
-	if !ok || !p.waiting[m.VM] {
+	p, ok := c.pending[id]
+	if !ok || !p.waiting[vm] {
 		return
 	}
-	delete(p.waiting, m.VM)
+	delete(p.waiting, vm)
 	if len(p.waiting) == 0 {
 		close(p.done)
 	}
