--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -47,7 +47,7 @@
 	d := s.retrier.Again(time.Now(), a)
 	s.cfg.Decisions.Line("call-retry-decided", "route", x.call.Route.Name, "rank", x.call.Rank.Name, "vm", vm, "retry", d.Retry,
 		"reason", d.Reason, "attempt", a.Number, "type", a.Problem.Type, "ran", a.Problem.Ran, "detail", a.Problem.Detail)
-	if !d.Retry || !x.body.rewind() {
+	if !d.Retry || !x.body.Rewind() {
 		return false
 	}
 	x.retrying = true
@@ -107,18 +107,27 @@
 func (s *Server) attempt(x *exchange, d routing.Decision) error {
 	s.cfg.Decisions.Line("call-routed", "route", x.call.Route.Name, "rank", x.call.Rank.Name, "vm", d.Member.VM,
 		"scope", d.Scope, "reason", d.Reason, "candidates", d.Candidates, "version", x.snap.ID.Version)
+	return s.observed(x, d.Member, func() error { return s.sendTo(x, d.Member) })
+}
+
+// observed runs one attempt at an upstream and tells routing how it went.
+func (s *Server) observed(x *exchange, to member.Member, send func() error) error {
 	start := time.Now()
-	s.picker.Start(start, d.Member)
+	s.picker.Start(start, to)
 	x.load = nil
-	err := s.sendTo(x, d.Member)
+	err := send()
 	now := time.Now()
-	s.picker.Finish(now, d.Member, routing.Result{Outcome: outcomeOf(err), Latency: now.Sub(start), Report: x.load})
+	s.picker.Finish(now, to, routing.Result{
+		Outcome: outcomeOf(err), Order: x.call.Rank.Order, Latency: now.Sub(start), Report: x.load,
+	})
 	return err
 }
 
 func (s *Server) sendTo(x *exchange, to member.Member) error {
 	if to.VM == s.control.Self().VM {
-		return s.serveLocal(x)
+		err := s.serveLocal(x)
+		x.load = s.load()
+		return err
 	}
 	return s.forward(x, to)
 }
--- a/internal/dataplane/forward.go
+++ b/internal/dataplane/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
 	"github.com/filbertpier/filbertpier/internal/member"
 )
 
@@ -30,7 +31,7 @@
 	defer stay.leave()
 	release, err := s.limiter.Acquire(ctx, x.call)
 	if x.r.Header.Get(call.HeaderTarget) != "" {
-		setLoad(x.w.Header(), s.limiter.Report())
+		setLoad(x.w.Header(), s.load())
 	}
 	if err != nil {
 		return refusal(err)
@@ -76,7 +77,7 @@
 		return err
 	}
 	x.load = parseLoad(resp.Header)
-	if p := peerProblem(resp); p != nil {
+	if p := relay.PeerProblem(resp); p != nil {
 		return p
 	}
 	return s.copyAnswer(ctx, x, resp)
@@ -92,7 +93,7 @@
 		Host:   in.Host,
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	copyHeader(out.Header, in.Header)
+	relay.CopyHeader(out.Header, in.Header)
 	out.Header.Del(call.HeaderTarget)
 	out.Header.Del(call.HeaderExpires)
 	out.Header.Set(call.HeaderRank, x.call.Rank.Name)
@@ -100,9 +101,9 @@
 	if x.retrying {
 		out.Header.Set(call.HeaderRetry, "1")
 	}
-	x.body.attach(out)
+	x.body.Attach(out)
 	if !x.call.Route.Idempotent {
-		preventReplay(out)
+		relay.PreventReplay(out)
 	}
 	return out.WithContext(ctx)
 }
@@ -119,7 +120,7 @@
 	_ = rc.SetWriteDeadline(x.call.Deadline)
 	h := x.w.Header()
 	for name, values := range resp.Header {
-		if !hopHeaders[name] && !strings.HasPrefix(name, call.HeaderPrefix) {
+		if !relay.IsHopHeader(name) && !strings.HasPrefix(name, call.HeaderPrefix) {
 			h[name] = values
 		}
 	}
@@ -127,10 +128,10 @@
 	h.Set(call.HeaderRan, string(call.RanYes))
 	x.started = true
 	x.w.WriteHeader(resp.StatusCode)
-	buf := s.buffers.get()
-	defer s.buffers.put(buf)
-	out := &answerWriter{w: x.w}
-	if _, err := io.CopyBuffer(out, resp.Body, *buf); out.err != nil {
+	buf := s.buffers.Get()
+	defer s.buffers.Put(buf)
+	out := &relay.AnswerWriter{W: x.w}
+	if _, err := io.CopyBuffer(out, resp.Body, *buf); out.Err != nil {
 		return call.NewProblem(call.ProblemCancelled, call.RanYes, "the caller does not read the answer", err)
 	} else if err != nil {
 		return failure(x, ctx, call.RanUnknown, err)
--- a/internal/dataplane/load_header.go
+++ b/internal/dataplane/load_header.go
@@ -4,15 +4,24 @@
 	"fmt"
 	"net/http"
 
-	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/member"
 	"github.com/filbertpier/filbertpier/internal/routing"
 )
 
+// load returns the load of the upstream beside this node.
+func (s *Server) load() *routing.LoadReport {
+	r := s.limiter.Report()
+	return &routing.LoadReport{
+		Running: r.Running, Waiting: r.Waiting, Slots: r.Slots,
+		Leaving: r.Draining || s.draining.Load() || s.control.Self().Status == member.Leaving,
+	}
+}
+
 // setLoad reports the upstream's load to the sending node.
-func setLoad(h http.Header, r admission.Report) {
+func setLoad(h http.Header, r *routing.LoadReport) {
 	leaving := 0
-	if r.Draining {
+	if r.Leaving {
 		leaving = 1
 	}
 	h.Set(call.HeaderLoad, fmt.Sprintf("%d %d %d %d", r.Running, r.Waiting, r.Slots, leaving))
--- a/internal/dataplane/peer_round_trip.go
+++ b/internal/dataplane/peer_round_trip.go
@@ -27,6 +27,7 @@
 		GotConn: func(httptrace.GotConnInfo) { silent.Reset(silenceLimit) },
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
 			silent.Reset(silenceLimit)
+			s.picker.Progress(time.Now(), to.VM)
 			return nil
 		},
 	})
