--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: build format vet staticcheck test soak demo bench-call bench-flood bench-convergence bench-capacity clean
+.PHONY: build format vet staticcheck test soak demo bench-call bench-flood bench-convergence bench-capacity plots clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./tools/...
@@ -49,5 +49,14 @@
 bench-capacity: build
 	timeout 180 $(BIN)/benchcapacity --bin $(BIN)
 
+# plots draws the service level by rank through a flood from the record of
+# bench-flood.
+plots: build
+	mkdir -p docs/plots
+	for policy in node fcfs; do \
+	  $(BIN)/plot --in $(BIN)/bench-flood.csv --out docs/plots/flood-both-$$policy.svg --x ms --y in_target --series rank \
+	    --where deployment=nadroka --where scenario=flood-both --where policy=$$policy \
+	    --title "Nadroka, flood of both ranks, limits: $$policy"; done
+
 clean:
 	rm -rf $(BIN)
--- a/tools/plot/main.go
+++ b/tools/plot/main.go
@@ -13,7 +13,7 @@
 	app := kingpin.New("plot", "Draws a recorded run as an SVG line chart.")
 	in := app.Flag("in", "CSV file with a header.").Required().ExistingFile()
 	out := app.Flag("out", "SVG file to write.").Required().String()
-	var c chart
+	c := chart{where: map[string]string{}}
 	app.Flag("x", "Column of the horizontal axis.").Required().StringVar(&c.x)
 	app.Flag("y", "Column of the vertical axis.").Required().StringVar(&c.y)
 	app.Flag("series", "Columns whose values name a line.").Required().StringsVar(&c.series)
