Split the control logic's memory into a package of its own; one type per file

Cause: read as a newcomer, internal/control had 34 files that mixed decisions with the maps they use, and five files held two types. Change: internal/control/state holds random numbers, the own record, watches, refused versions, queued updates, cached answers, zones and the joining state, each type under its own lock; the other second types got files of their own. Nothing else changes.

--- a/cmd/fpctl/app.go
+++ b/cmd/fpctl/app.go
@@ -12,9 +12,6 @@
 	"github.com/filbertpier/filbertpier/internal/ctl"
 )
 
-// action carries out one command. The result may be nil.
-type action func(ctx context.Context) (ctl.Result, error)
-
 // app holds the command line and what it is bound to.
 type app struct {
 	cli     *kingpin.Application
--- a/internal/admission/rank_entry.go
+++ b/internal/admission/rank_entry.go
@@ -1,8 +1,6 @@
 package admission
 
 import (
-	"time"
-
 	"github.com/filbertpier/filbertpier/config"
 )
 
@@ -15,15 +13,6 @@
 	account *account
 }
 
-// account is a rank's use of the slots, guarded by the ledger's lock.
-type account struct {
-	running int
-	// credit is the slot time in seconds by which the rank is behind its
-	// floor; negative when it is ahead.
-	credit  float64
-	service serviceTime
-}
-
 func newRankEntry(rank *config.Rank) *rankEntry {
 	return &rankEntry{rank: rank, queue: &rankQueue{}, account: &account{}}
 }
@@ -35,25 +24,3 @@
 
 // idle reports whether the rank has no waiting call.
 func (e *rankEntry) idle() bool { return e.queue.length.Load() == 0 }
-
-// creditLimit bounds the slot time that a rank can be behind its floor, in
-// seconds of its floor. A longer memory makes a burst after a shortage longer.
-const creditLimit = 1.0
-
-// advance accounts for elapsed time. A rank can be ahead by one call only,
-// which keeps floors below one slot exact; repaying slots that were free
-// anyway would take the floor away when a flood begins.
-func (a *account) advance(now time.Time, floorSlots float64, waiting, contended bool, elapsed time.Duration) {
-	dt := elapsed.Seconds()
-	if waiting {
-		a.credit += floorSlots * dt
-	}
-	if contended {
-		a.credit -= float64(a.running) * dt
-	}
-	if !waiting && a.credit > 0 {
-		a.credit = 0
-	}
-	ahead := a.service.estimate(now).Seconds()
-	a.credit = min(max(a.credit, -ahead), creditLimit*floorSlots)
-}
--- a/internal/control/adopt.go
+++ b/internal/control/adopt.go
@@ -34,8 +34,8 @@
 	a.checkAdopted(before, snap)
 	a.transfers.dropUpTo(snap.ID)
 	out.log(effect.EventVersionAdopted, "version", snap.ID.Version, "digest", snap.ID.Digest.String(), "origin", origin)
-	self := a.self.get()
-	for _, t := range spread.Targets(a.table.View(now), self, versionSeed(snap.ID), origin, a.rng.fork()) {
+	self := a.self.Get()
+	for _, t := range spread.Targets(a.table.View(now), self, versionSeed(snap.ID), origin, a.rng.Fork()) {
 		out.send(self, t, &message.Announce{VM: self.VM, ID: snap.ID})
 	}
 	return true
@@ -52,7 +52,7 @@
 	if errors.As(err, &invalid) {
 		if m, decodeErr := manifest.Decode(env.Manifest); decodeErr == nil {
 			id := snapshot.ID{Version: m.Version, Digest: env.Digest()}
-			a.refused.add(id, err)
+			a.refused.Add(id, err)
 			a.transfers.drop(id)
 		}
 	}
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/filbertpier/filbertpier/internal/control/state"
 	"github.com/filbertpier/filbertpier/internal/effect"
 	"github.com/filbertpier/filbertpier/internal/member"
 	"github.com/filbertpier/filbertpier/internal/message"
@@ -14,18 +15,18 @@
 // use; none blocks on I/O. Effects must be carried out in any order.
 type Agent struct {
 	cfg       Config
-	self      selfRecord
+	self      *state.Self
 	table     *member.Table
 	store     *snapshot.Store
-	rng       *random
-	watches   *watches
+	rng       *state.Random
+	watches   *state.Watches
 	transfers *transfers
-	responses responseCache
-	refused   *refused
-	zones     zoneState
-	updates   *updateQueue
+	responses state.ResponseCache
+	refused   *state.Refused
+	zones     state.Zones
+	updates   *state.UpdateQueue
 	platform  platformState
-	join      joinState
+	join      state.Join
 
 	// served is the version at the last check that found the node ready.
 	served atomic.Pointer[snapshot.ID]
@@ -40,24 +41,24 @@
 	cfg = cfg.withDefaults()
 	return &Agent{
 		cfg:       cfg,
-		self:      selfRecord{m: cfg.Self},
+		self:      state.NewSelf(cfg.Self),
 		table:     member.NewTable(),
 		store:     store,
-		rng:       newRandom(cfg.Seed),
-		watches:   newWatches(),
+		rng:       state.NewRandom(cfg.Seed),
+		watches:   state.NewWatches(),
 		transfers: newTransfers(),
-		refused:   newRefused(),
-		updates:   newUpdateQueue(),
+		refused:   state.NewRefused(),
+		updates:   state.NewUpdateQueue(),
 	}
 }
 
 // Start returns the first effects.
 func (a *Agent) Start(now time.Time) []effect.Effect {
 	var out effects
-	a.table.Apply(now, a.self.get())
+	a.table.Apply(now, a.self.Get())
 	a.lastTick.Store(now.UnixNano())
 	a.startJoin(now, &out)
-	out.timer(a.rng.jitter(a.cfg.HeartbeatInterval), effect.Timer{Kind: effect.TimerTick})
+	out.timer(a.rng.Jitter(a.cfg.HeartbeatInterval), effect.Timer{Kind: effect.TimerTick})
 	return out
 }
 
@@ -68,19 +69,19 @@
 	case *message.Heartbeat:
 		a.onHeartbeat(now, m, &out)
 	case *message.Announce:
-		a.watches.mark(m.VM, now)
+		a.watches.Mark(m.VM, now)
 		a.onOffer(now, m.ID, m.VM, &out)
 	case *message.PullRequest:
-		a.watches.mark(m.VM, now)
+		a.watches.Mark(m.VM, now)
 		a.onPullRequest(m, &out)
 	case *message.PullResponse:
-		a.watches.mark(m.VM, now)
+		a.watches.Mark(m.VM, now)
 		a.onPullResponse(now, m, &out)
 	case *message.MemberUpdates:
-		a.watches.mark(m.VM, now)
+		a.watches.Mark(m.VM, now)
 		a.mergeMembers(now, m.VM, m.Members, &out)
 	case *message.TableDigests:
-		a.watches.mark(m.VM, now)
+		a.watches.Mark(m.VM, now)
 		a.onTableDigests(m, &out)
 	case *message.JoinRequest:
 		a.onJoinRequest(now, m, &out)
@@ -134,7 +135,7 @@
 // until the process ends.
 func (a *Agent) Leave(now time.Time) []effect.Effect {
 	var out effects
-	m := a.self.leave(now.UnixMilli())
+	m := a.self.Leave(now.UnixMilli())
 	a.noteMember(now, m, &out)
 	a.flushUpdates(now, &out)
 	return out
@@ -150,7 +151,7 @@
 // Ready reports whether the node may serve calls: it joined, and it was not
 // paused so long that its view may be out of date.
 func (a *Agent) Ready(now time.Time) bool {
-	return a.join.isReady() && !a.pausedAt(now)
+	return a.join.IsReady() && !a.pausedAt(now)
 }
 
 // Table returns the node's view of the fleet.
@@ -160,10 +161,10 @@
 func (a *Agent) Store() *snapshot.Store { return a.store }
 
 // Self returns the node's own record.
-func (a *Agent) Self() member.Member { return a.self.get() }
+func (a *Agent) Self() member.Member { return a.self.Get() }
 
 // Refused returns the versions refused for their content and why.
-func (a *Agent) Refused() map[snapshot.ID]error { return a.refused.all() }
+func (a *Agent) Refused() map[snapshot.ID]error { return a.refused.All() }
 
 // PlatformAge returns the age of the last platform read by any node that this
 // node knows of; ok is false if it knows of none.
--- a/internal/control/anti_entropy.go
+++ b/internal/control/anti_entropy.go
@@ -25,9 +25,9 @@
 		return
 	}
 	if m.Reply {
-		a.join.setSynced()
+		a.join.SetSynced()
 	}
-	self := a.self.get()
+	self := a.self.Get()
 	var records []member.Member
 	for i, d := range a.table.Digests() {
 		if d != m.Digests[i] {
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -15,28 +15,28 @@
 		age = d.Milliseconds()
 	}
 	return &message.Heartbeat{
-		From:          a.self.get(),
+		From:          a.self.Get(),
 		Current:       a.store.CurrentID(),
 		Ready:         a.Ready(now),
 		PlatformAgeMs: age,
-		ZoneAgesMs:    a.zones.ages(now),
-		Ask:           a.join.ask(),
+		ZoneAgesMs:    a.zones.Ages(now),
+		Ask:           a.join.Ask(),
 		Reply:         reply,
 	}
 }
 
 func (a *Agent) onHeartbeat(now time.Time, m *message.Heartbeat, out *effects) {
-	a.watches.mark(m.From.VM, now)
+	a.watches.Mark(m.From.VM, now)
 	if m.PlatformAgeMs >= 0 {
 		a.platform.seen(now.Add(-time.Duration(m.PlatformAgeMs) * time.Millisecond))
 	}
 	a.hearZones(now, m)
 	a.hearSender(now, m.From, out)
-	a.join.hear(m.From.VM, m.Current, m.Ready, m.Reply && m.Ask != 0, m.Ask)
+	a.join.Hear(m.From.VM, m.Current, m.Ready, m.Reply && m.Ask != 0, m.Ask)
 	if !m.Reply {
 		reply := a.heartbeat(now, true)
 		reply.Ask = m.Ask
-		out.send(a.self.get(), m.From, reply)
+		out.send(a.self.Get(), m.From, reply)
 	}
 	a.onOffer(now, m.Current, m.From.VM, out)
 }
@@ -44,7 +44,7 @@
 // hearSender merges the sender's own record. If the node holds a record of the
 // sender that supersedes it, the sender is told, so that it can refute.
 func (a *Agent) hearSender(now time.Time, from member.Member, out *effects) {
-	self := a.self.get()
+	self := a.self.Get()
 	if a.table.Apply(now, from) {
 		a.queueUpdates(spread.FromPeer, out, from)
 		return
@@ -56,17 +56,17 @@
 
 // onTick sends heartbeats, looks for silent members and starts due reads.
 func (a *Agent) onTick(now time.Time, out *effects) {
-	out.timer(a.rng.jitter(a.cfg.HeartbeatInterval), effect.Timer{Kind: effect.TimerTick})
+	out.timer(a.rng.Jitter(a.cfg.HeartbeatInterval), effect.Timer{Kind: effect.TimerTick})
 	if a.pausedAt(now) {
 		out.log(effect.EventPauseDetected, "pause_ms", now.Sub(time.Unix(0, a.lastTick.Load())).Milliseconds())
-		a.watches.reset()
-		a.zones.reset()
+		a.watches.Reset()
+		a.zones.Reset()
 		a.startJoin(now, out)
 	}
 	a.lastTick.Store(now.UnixNano())
 	tick := a.ticks.Add(1)
 	view := a.table.View(now)
-	self := a.self.get()
+	self := a.self.Get()
 	a.beatSuccessors(now, view, self, out)
 	a.beatRandomPeer(now, view, self, out)
 	a.probeDead(now, view, self, out)
@@ -86,11 +86,11 @@
 	for _, m := range view.Successors(self, watchedSuccessors) {
 		keep[m.VM] = true
 		out.send(self, m, a.heartbeat(now, false))
-		if silent := a.watches.since(m.VM, now); silent > limit {
+		if silent := a.watches.Since(m.VM, now); silent > limit {
 			a.onSilent(now, m, silent-limit, out)
 		}
 	}
-	a.watches.retain(keep)
+	a.watches.Retain(keep)
 }
 
 func (a *Agent) beatRandomPeer(now time.Time, view *member.View, self member.Member, out *effects) {
@@ -99,7 +99,7 @@
 	}
 	// One in Fanout ticks goes to another zone of the region, so that zones
 	// learn of each other's versions when a tree message is lost.
-	if zones := view.Zones(self.Region); len(zones) > 1 && a.rng.intN(spread.Fanout) == 0 {
+	if zones := view.Zones(self.Region); len(zones) > 1 && a.rng.IntN(spread.Fanout) == 0 {
 		if m, ok := a.randomPeer(view.Region(self.Region), self); ok {
 			out.send(self, m, a.heartbeat(now, false))
 		}
@@ -136,6 +136,6 @@
 	if len(members) == 0 {
 		return member.Member{}, false
 	}
-	m := members[a.rng.intN(len(members))]
+	m := members[a.rng.IntN(len(members))]
 	return m, m.VM != self.VM
 }
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/filbertpier/filbertpier/internal/control/state"
 	"github.com/filbertpier/filbertpier/internal/effect"
 	"github.com/filbertpier/filbertpier/internal/member"
 	"github.com/filbertpier/filbertpier/internal/message"
@@ -14,10 +15,10 @@
 // startJoin makes the node ask peers before it serves. It runs at the start and
 // after a pause.
 func (a *Agent) startJoin(now time.Time, out *effects) {
-	a.join.restart(now, a.cfg.JoinTimeout)
+	a.join.Restart(now, a.cfg.JoinTimeout)
 	a.delayReading(now)
 	a.askToJoin(now, out)
-	out.timer(a.rng.jitter(a.cfg.HeartbeatInterval/2), effect.Timer{Kind: effect.TimerJoin})
+	out.timer(a.rng.Jitter(a.cfg.HeartbeatInterval/2), effect.Timer{Kind: effect.TimerJoin})
 }
 
 // delayReading spreads the platform reads of nodes that all start at once.
@@ -29,22 +30,22 @@
 	p.fallbackNotBefore = now.Add(reader.StaleAfter)
 	p.aloneNotBefore = now
 	if len(a.cfg.Seeds) > 0 {
-		p.aloneNotBefore = now.Add(a.rng.jitter(joinListWindow) - joinListWindow/2)
+		p.aloneNotBefore = now.Add(a.rng.Jitter(joinListWindow) - joinListWindow/2)
 	}
 }
 
 // askToJoin sends join requests to the seeds while no peer is known, and
 // heartbeats to random peers afterwards, whose replies name their version.
 func (a *Agent) askToJoin(now time.Time, out *effects) {
-	self := a.self.get()
+	self := a.self.Get()
 	view := a.table.View(now)
 	if len(view.All()) <= 1 {
 		for _, addr := range a.someSeeds(self.PeerAddr) {
-			out.sendAddr(addr, &message.JoinRequest{From: self, Ask: a.join.ask()})
+			out.sendAddr(addr, &message.JoinRequest{From: self, Ask: a.join.Ask()})
 		}
 		return
 	}
-	for range joinPeers {
+	for range state.JoinPeers {
 		if m, ok := a.randomPeer(view.Region(self.Region), self); ok {
 			out.send(self, m, a.heartbeat(now, false))
 		}
@@ -52,7 +53,7 @@
 	if m, ok := a.randomPeer(view.All(), self); ok {
 		out.send(self, m, a.heartbeat(now, false))
 	}
-	if !a.join.isSynced() {
+	if !a.join.IsSynced() {
 		a.compareTables(nearest(view, self), self, out)
 	}
 }
@@ -73,24 +74,24 @@
 // its whole member table, 1.4 MB at 7,300 nodes.
 func (a *Agent) someSeeds(self string) []string {
 	seeds := slices.DeleteFunc(slices.Clone(a.cfg.Seeds), func(addr string) bool { return addr == self })
-	a.rng.fork().Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	a.rng.Fork().Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	return seeds[:min(len(seeds), joinSeeds)]
 }
 
 // onJoinTimer repeats the questions until the node is ready.
 func (a *Agent) onJoinTimer(now time.Time, out *effects) {
-	if a.join.isReady() {
+	if a.join.IsReady() {
 		return
 	}
 	a.askToJoin(now, out)
-	out.timer(a.rng.jitter(a.cfg.HeartbeatInterval/2), effect.Timer{Kind: effect.TimerJoin})
+	out.timer(a.rng.Jitter(a.cfg.HeartbeatInterval/2), effect.Timer{Kind: effect.TimerJoin})
 }
 
 // onJoinRequest answers with the whole fleet within a zone and with the own zone
 // otherwise: the whole fleet takes about a megabyte at 7,300 members, and a
 // joining node asks seeds in every zone.
 func (a *Agent) onJoinRequest(now time.Time, m *message.JoinRequest, out *effects) {
-	self := a.self.get()
+	self := a.self.Get()
 	// Not from the view: in a mass restart it lags behind by the very members
 	// that started in the same moment.
 	members := a.table.All()
@@ -112,19 +113,19 @@
 }
 
 func (a *Agent) onJoinResponse(now time.Time, m *message.JoinResponse, out *effects) {
-	a.watches.mark(m.From.VM, now)
+	a.watches.Mark(m.From.VM, now)
 	a.hearSender(now, m.From, out)
 	a.mergeQuietly(now, m.Members, out)
-	a.join.hear(m.From.VM, m.Current, m.Ready, true, m.Ask)
-	if m.From.Zone == a.self.get().Zone {
-		a.join.setSynced()
+	a.join.Hear(m.From.VM, m.Current, m.Ready, true, m.Ask)
+	if m.From.Zone == a.self.Get().Zone {
+		a.join.SetSynced()
 	}
 	a.onOffer(now, m.Current, m.From.VM, out)
 }
 
 // mergeQuietly applies a whole table without passing it on: the others have it.
 func (a *Agent) mergeQuietly(now time.Time, members []member.Member, out *effects) {
-	self := a.self.get()
+	self := a.self.Get()
 	for _, m := range members {
 		if m.VM == self.VM {
 			a.answerClaim(now, m, out)
@@ -139,11 +140,11 @@
 
 // checkReady lets the node serve as soon as it has joined.
 func (a *Agent) checkReady(now time.Time, out *effects) {
-	if a.join.isReady() {
+	if a.join.IsReady() {
 		return
 	}
 	known := len(a.table.View(now).All()) - 1
-	if a.join.complete(now, a.store.CurrentID(), known, a.refused.has) {
+	if a.join.Complete(now, a.store.CurrentID(), known, a.refused.Has) {
 		out.log(effect.EventReady, "version", a.store.CurrentID().Version, "known_members", known)
 	}
 }
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -8,8 +8,6 @@
 	// missedIntervals is the number of silent heartbeat intervals after which
 	// a watched member is suspected.
 	missedIntervals = 2
-	// maxSuspectsKept bounds the remembered own suspicions of one shard.
-	maxSuspectsKept = 64
 	// zoneSilence and zoneSilenceFar are how long nothing is heard from a zone
 	// of the region, or of another region, before it is suspect as a whole.
 	// Gateways reach each zone of another region about every 8 s.
@@ -29,8 +27,6 @@
 	// gatewayAntiEntropyTicks is the number of ticks between comparisons of
 	// the member table with a peer in another region.
 	gatewayAntiEntropyTicks = 10
-	// joinPeers is the number of peers whose version an empty node compares.
-	joinPeers = 3
 	// joinSeeds is the number of seeds that a starting node asks at a time. With
 	// two, a mass restart left more nodes that took themselves for readers.
 	joinSeeds = 3
@@ -70,8 +66,6 @@
 	transferAttemptsBeforePlatform = 5
 	// maxTransferSources bounds the sources kept for a transfer.
 	maxTransferSources = 8
-	// maxRefused bounds the remembered refused versions.
-	maxRefused = 64
 
 	// watchWait is how long a reader's watch waits. It is shorter than
 	// reader.StaleAfter, so that a quiet platform does not look unread.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -30,12 +30,12 @@
 
 // mergeMembers applies records from a peer and passes the news on.
 func (a *Agent) mergeMembers(now time.Time, fromVM string, members []member.Member, out *effects) {
-	if !a.join.isReady() {
+	if !a.join.IsReady() {
 		// A joining node gets whole tables, which the others have.
 		a.mergeQuietly(now, members, out)
 		return
 	}
-	self := a.self.get()
+	self := a.self.Get()
 	var news []member.Member
 	for _, m := range members {
 		if m.VM == self.VM {
@@ -54,15 +54,15 @@
 // answerClaim refutes a peer's record of this node that supersedes its own. A
 // record that the node is leaving is accepted: the platform decides that.
 func (a *Agent) answerClaim(now time.Time, claim member.Member, out *effects) {
-	self := a.self.get()
+	self := a.self.Get()
 	if !claim.Supersedes(self) || claim.Boot > self.Boot {
 		return
 	}
 	if claim.Status == member.Leaving {
-		a.noteMember(now, a.self.leave(now.UnixMilli()), out)
+		a.noteMember(now, a.self.Leave(now.UnixMilli()), out)
 		return
 	}
-	m := a.self.refute(claim, now.UnixMilli())
+	m := a.self.Refute(claim, now.UnixMilli())
 	out.log(effect.EventMemberRefuted, "claim", claim.Status.String(), "incarnation", m.Incarnation)
 	a.noteMember(now, m, out)
 }
@@ -76,20 +76,20 @@
 }
 
 func (a *Agent) queueUpdates(origin spread.Origin, out *effects, members ...member.Member) {
-	if a.updates.add(origin, members...) {
+	if a.updates.Add(origin, members...) {
 		out.timer(updateDelay, effect.Timer{Kind: effect.TimerFlushUpdates})
 	}
 }
 
 // flushUpdates sends the queued records along a tree of their own.
 func (a *Agent) flushUpdates(now time.Time, out *effects) {
-	members, origin := a.updates.take()
+	members, origin := a.updates.Take()
 	if len(members) == 0 {
 		return
 	}
-	self := a.self.get()
+	self := a.self.Get()
 	seed := spread.Weight(members[0].VM, members[0].Boot+members[0].Incarnation)
-	targets := spread.Targets(a.table.View(now), self, seed, origin, a.rng.fork())
+	targets := spread.Targets(a.table.View(now), self, seed, origin, a.rng.Fork())
 	for len(members) > 0 {
 		n := min(len(members), maxUpdates)
 		batch := &message.MemberUpdates{VM: self.VM, Members: members[:n]}
--- a/internal/control/offer.go
+++ b/internal/control/offer.go
@@ -17,7 +17,7 @@
 	if id.Version == current.Version && id != current && !id.IsZero() {
 		out.log(effect.EventVersionConflict, "version", id.Version, "digest", id.Digest.String(), "own_digest", current.Digest.String())
 	}
-	if !current.Less(id) || a.refused.has(id) {
+	if !current.Less(id) || a.refused.Has(id) {
 		return
 	}
 	if vm == "" && a.transfers.withoutSource() >= maxCallerTransfers {
@@ -52,7 +52,7 @@
 	switch {
 	case !ok:
 		return nearUnknown
-	case m.Region != a.self.get().Region:
+	case m.Region != a.self.Get().Region:
 		return nearOtherRegion
 	default:
 		return nearOwnRegion
@@ -62,7 +62,7 @@
 // pullDelay keeps all but one node of a region from pulling across regions at
 // once.
 func (a *Agent) pullDelay(now time.Time, id snapshot.ID, vm string) time.Duration {
-	self := a.self.get()
+	self := a.self.Get()
 	from, ok := a.table.Get(vm)
 	if !ok || from.Region == self.Region {
 		return 0
@@ -74,13 +74,13 @@
 	case gateway:
 		return secondGatewayDelay
 	default:
-		return strayDelay + a.rng.jitter(strayDelay/2)
+		return strayDelay + a.rng.Jitter(strayDelay/2)
 	}
 }
 
 // pull asks the next source for a version and arms the retry.
 func (a *Agent) pull(now time.Time, id snapshot.ID, out *effects) {
-	self := a.self.get()
+	self := a.self.Get()
 	attempts, source, published := 0, "", false
 	alive := a.transfers.with(id, func(tr *transfer) {
 		tr.attempts++
@@ -109,7 +109,7 @@
 		}
 		out.send(self, to, &message.PullRequest{VM: self.VM, Want: id, Have: a.store.CurrentID()})
 	}
-	wait = a.rng.jitter(wait)
+	wait = a.rng.Jitter(wait)
 	a.transfers.with(id, func(tr *transfer) { tr.due = now.Add(wait) })
 	out.timer(wait, effect.Timer{Kind: effect.TimerTransfer, ID: id})
 }
--- a/internal/control/platform_answers.go
+++ b/internal/control/platform_answers.go
@@ -15,7 +15,7 @@
 func (a *Agent) onManifestAnswer(now time.Time, ans effect.PlatformAnswer, out *effects) {
 	watch := ans.Read.Wait > 0
 	if ans.Err != nil {
-		a.finishManifestRead(watch, now.Add(a.rng.jitter(platformBackoff)), nil)
+		a.finishManifestRead(watch, now.Add(a.rng.Jitter(platformBackoff)), nil)
 		out.log(effect.EventPlatformFailed, "query", "manifest", "error", ans.Err.Error())
 		return
 	}
@@ -25,7 +25,7 @@
 		a.onPublished(now, ans.Value, out)
 	}
 	if watch {
-		view, self := a.table.View(now), a.self.get()
+		view, self := a.table.View(now), a.self.Get()
 		a.readIfDue(now, view, self, out)
 	}
 }
@@ -63,7 +63,7 @@
 	if id.Version == current.Version && id != current {
 		out.log(effect.EventVersionConflict, "version", id.Version, "digest", id.Digest.String(), "own_digest", current.Digest.String())
 	}
-	if !current.Less(id) || a.refused.has(id) {
+	if !current.Less(id) || a.refused.Has(id) {
 		return
 	}
 	created := false
@@ -77,7 +77,7 @@
 	if a.adopt(now, env, nil, spread.FromPlatform, out) {
 		return
 	}
-	if a.self.get().Region == a.cfg.PlatformRegion || current.IsZero() {
+	if a.self.Get().Region == a.cfg.PlatformRegion || current.IsZero() {
 		a.readMissing(now, id, out)
 	}
 	if created {
@@ -88,7 +88,7 @@
 // farDelay gives peers the time to bring the sections before they are read from
 // the platform: in its own region they are being read already.
 func (a *Agent) farDelay(now time.Time, id snapshot.ID) time.Duration {
-	self := a.self.get()
+	self := a.self.Get()
 	if self.Region == a.cfg.PlatformRegion {
 		return transferRetryFar
 	}
@@ -145,7 +145,7 @@
 	p := &a.platform
 	if ans.Err != nil {
 		p.mu.Lock()
-		p.listNotBefore = now.Add(a.rng.jitter(platformBackoff))
+		p.listNotBefore = now.Add(a.rng.Jitter(platformBackoff))
 		p.mu.Unlock()
 		out.log(effect.EventPlatformFailed, "query", "vms", "error", ans.Err.Error())
 		return
@@ -161,9 +161,9 @@
 // applyListed merges an entry of the VM list. The list adds unknown VMs and
 // marks leaving ones; it never revives a member, because it lags.
 func (a *Agent) applyListed(now time.Time, vm platform.VM, out *effects) {
-	if vm.ID == a.self.get().VM {
-		if vm.State == platform.VMLeaving && vm.LeavingSince > int64(a.self.get().Boot) && a.self.get().Status != member.Leaving {
-			a.noteMember(now, a.self.leave(now.UnixMilli()), out)
+	if vm.ID == a.self.Get().VM {
+		if vm.State == platform.VMLeaving && vm.LeavingSince > int64(a.self.Get().Boot) && a.self.Get().Status != member.Leaving {
+			a.noteMember(now, a.self.Leave(now.UnixMilli()), out)
 		}
 		return
 	}
--- a/internal/control/platform_read.go
+++ b/internal/control/platform_read.go
@@ -44,7 +44,7 @@
 		return
 	}
 	p.fallbackArmed = true
-	out.timer(reader.FallbackDelay(known, a.rng.fork()), effect.Timer{Kind: effect.TimerFallback})
+	out.timer(reader.FallbackDelay(known, a.rng.Fork()), effect.Timer{Kind: effect.TimerFallback})
 }
 
 // mustReadFar reports whether the readers of another region than the platform's
--- a/internal/control/pull.go
+++ b/internal/control/pull.go
@@ -17,7 +17,7 @@
 	if !ok {
 		return
 	}
-	self := a.self.get()
+	self := a.self.Get()
 	cur := a.store.Current()
 	if cur == nil || cur.ID.Less(m.Want) {
 		out.send(self, from, &message.PullResponse{VM: self.VM, ID: m.Want, Missing: true})
@@ -27,7 +27,7 @@
 	if _, held := a.store.Find(have); !held {
 		have = snapshot.ID{}
 	}
-	resp, ok := a.responses.get(cur.ID, have)
+	resp, ok := a.responses.Get(cur.ID, have)
 	if !ok {
 		var err error
 		if resp, err = a.encodeVersion(cur, have); err != nil {
@@ -35,7 +35,7 @@
 			return
 		}
 		resp.VM = self.VM
-		a.responses.put(have, resp)
+		a.responses.Put(have, resp)
 	}
 	out.send(self, from, resp)
 }
@@ -90,7 +90,7 @@
 		}
 		return
 	}
-	if !current.Less(m.ID) || a.refused.has(m.ID) {
+	if !current.Less(m.ID) || a.refused.Has(m.ID) {
 		return
 	}
 	env, sections, err := a.decodeVersion(m)
@@ -98,7 +98,7 @@
 		out.log(effect.EventSectionInvalid, "version", m.ID.Version, "from", m.VM, "error", err.Error())
 		return
 	}
-	a.adopt(now, env, sections, a.originOf(m.VM, a.self.get()), out)
+	a.adopt(now, env, sections, a.originOf(m.VM, a.self.Get()), out)
 }
 
 func (a *Agent) decodeVersion(m *message.PullResponse) (*manifest.Envelope, map[manifest.Digest][]byte, error) {
--- a/internal/control/join_state.go
+++ b/internal/control/state/join.go
@@ -1,4 +1,4 @@
-package control
+package state
 
 import (
 	"sync"
@@ -7,9 +7,9 @@
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
-// joinState tells whether the node may serve calls: it must have asked enough
+// Join tells whether the node may serve calls: it must have asked enough
 // peers for their version and hold the greatest that it heard.
-type joinState struct {
+type Join struct {
 	// mu guards all fields.
 	mu       sync.Mutex
 	ready    bool
@@ -28,7 +28,8 @@
 	synced bool
 }
 
-func (j *joinState) restart(now time.Time, timeout time.Duration) {
+// Restart begins an attempt to join that gives up waiting after timeout.
+func (j *Join) Restart(now time.Time, timeout time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.ready = false
@@ -40,26 +41,29 @@
 	j.synced = false
 }
 
-func (j *joinState) setSynced() {
+// SetSynced notes that a peer has sent or compared its whole member table.
+func (j *Join) SetSynced() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.synced = true
 }
 
-func (j *joinState) isSynced() bool {
+// IsSynced reports whether a peer has done so.
+func (j *Join) IsSynced() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.synced
 }
 
-func (j *joinState) isReady() bool {
+// IsReady reports whether the node may serve.
+func (j *Join) IsReady() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.ready
 }
 
-// ask returns the attempt that questions carry, or 0 if the node is ready.
-func (j *joinState) ask() uint64 {
+// Ask returns the attempt that questions carry, or 0 if the node is ready.
+func (j *Join) Ask() uint64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.ready {
@@ -68,9 +72,9 @@
 	return j.attempt
 }
 
-// hear notes the version of a peer; it counts as asked if the message answers
+// Hear notes the version of a peer; it counts as asked if the message answers
 // a question of the current attempt.
-func (j *joinState) hear(vm string, id snapshot.ID, serves, answer bool, attempt uint64) {
+func (j *Join) Hear(vm string, id snapshot.ID, serves, answer bool, attempt uint64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.ready {
@@ -88,10 +92,10 @@
 	}
 }
 
-// complete marks the node ready if it may be, and reports whether this call
+// Complete marks the node ready if it may be, and reports whether this call
 // did. known is the number of other live members. A version that the node
 // refused for its content does not keep it from serving.
-func (j *joinState) complete(now time.Time, current snapshot.ID, known int, refused func(snapshot.ID) bool) bool {
+func (j *Join) Complete(now time.Time, current snapshot.ID, known int, refused func(snapshot.ID) bool) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.ready || current.IsZero() {
@@ -102,7 +106,7 @@
 			return false
 		}
 	}
-	enough := len(j.answered) >= min(joinPeers, known) && len(j.established) > 0 && j.synced
+	enough := len(j.answered) >= min(JoinPeers, known) && len(j.established) > 0 && j.synced
 	if !enough && now.Before(j.deadline) {
 		return false
 	}
--- /dev/null
+++ b/internal/control/state/random.go
@@ -0,0 +1,40 @@
+package state
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Random is a seeded generator for use from several goroutines.
+type Random struct {
+	// mu guards rng.
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// NewRandom returns a generator for a seed.
+func NewRandom(seed uint64) *Random {
+	return &Random{rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))}
+}
+
+// Fork returns a generator for one decision.
+func (r *Random) Fork() *rand.Rand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return rand.New(rand.NewPCG(r.rng.Uint64(), r.rng.Uint64()))
+}
+
+// Jitter returns a duration between half of d and one and a half of it.
+func (r *Random) Jitter(d time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return d/2 + time.Duration(r.rng.Int64N(int64(d)+1))
+}
+
+// IntN returns a number below n.
+func (r *Random) IntN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.IntN(n)
+}
--- a/internal/control/refused.go
+++ b/internal/control/state/refused.go
@@ -1,4 +1,4 @@
-package control
+package state
 
 import (
 	"sync"
@@ -6,17 +6,19 @@
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
-// refused remembers versions whose content is invalid, so that each is checked
+// Refused remembers versions whose content is invalid, so that each is checked
 // once and not fetched again.
-type refused struct {
+type Refused struct {
 	// mu guards byID.
 	mu   sync.Mutex
 	byID map[snapshot.ID]error
 }
 
-func newRefused() *refused { return &refused{byID: map[snapshot.ID]error{}} }
+// NewRefused returns an empty memory of refused versions.
+func NewRefused() *Refused { return &Refused{byID: map[snapshot.ID]error{}} }
 
-func (r *refused) add(id snapshot.ID, err error) {
+// Add remembers why a version was refused.
+func (r *Refused) Add(id snapshot.ID, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.byID[id] = err
@@ -32,14 +34,16 @@
 	delete(r.byID, oldest)
 }
 
-func (r *refused) has(id snapshot.ID) bool {
+// Has reports whether a version was refused.
+func (r *Refused) Has(id snapshot.ID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, ok := r.byID[id]
 	return ok
 }
 
-func (r *refused) all() map[snapshot.ID]error {
+// All returns a copy of the refused versions and why.
+func (r *Refused) All() map[snapshot.ID]error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make(map[snapshot.ID]error, len(r.byID))
--- a/internal/control/response_cache.go
+++ b/internal/control/state/response_cache.go
@@ -1,4 +1,4 @@
-package control
+package state
 
 import (
 	"sync"
@@ -10,16 +10,17 @@
 // maxCachedResponses bounds the cache: nearly all peers pull from the same base.
 const maxCachedResponses = 4
 
-// responseCache keeps the encoded answers to pulls of the version in force, so
+// ResponseCache keeps the encoded answers to pulls of the version in force, so
 // that a node compresses a delta once and not for each child of the tree.
-type responseCache struct {
+type ResponseCache struct {
 	// mu guards id and byBase.
 	mu     sync.Mutex
 	id     snapshot.ID
 	byBase map[snapshot.ID]*message.PullResponse
 }
 
-func (c *responseCache) get(id, base snapshot.ID) (*message.PullResponse, bool) {
+// Get returns the current value.
+func (c *ResponseCache) Get(id, base snapshot.ID) (*message.PullResponse, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.id != id {
@@ -29,8 +30,8 @@
 	return resp, ok
 }
 
-// put adds an answer, which must not be changed afterwards.
-func (c *responseCache) put(base snapshot.ID, resp *message.PullResponse) {
+// Put adds an answer, which must not be changed afterwards.
+func (c *ResponseCache) Put(base snapshot.ID, resp *message.PullResponse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.id != resp.ID || len(c.byBase) >= maxCachedResponses {
--- a/internal/control/update_queue.go
+++ b/internal/control/state/update_queue.go
@@ -1,4 +1,4 @@
-package control
+package state
 
 import (
 	"cmp"
@@ -9,21 +9,22 @@
 	"github.com/filbertpier/filbertpier/internal/spread"
 )
 
-// updateQueue coalesces member records before they are passed on.
-type updateQueue struct {
+// UpdateQueue coalesces member records before they are passed on.
+type UpdateQueue struct {
 	// mu guards pending and origin.
 	mu      sync.Mutex
 	pending map[string]member.Member
 	origin  spread.Origin
 }
 
-func newUpdateQueue() *updateQueue {
-	return &updateQueue{pending: map[string]member.Member{}, origin: spread.FromPeer}
+// NewUpdateQueue returns an empty queue.
+func NewUpdateQueue() *UpdateQueue {
+	return &UpdateQueue{pending: map[string]member.Member{}, origin: spread.FromPeer}
 }
 
-// add queues records and reports whether the queue was empty. The batch takes
+// Add queues records and reports whether the queue was empty. The batch takes
 // the origin that reaches the most nodes.
-func (q *updateQueue) add(origin spread.Origin, members ...member.Member) bool {
+func (q *UpdateQueue) Add(origin spread.Origin, members ...member.Member) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	wasEmpty := len(q.pending) == 0
@@ -36,9 +37,9 @@
 	return wasEmpty && len(q.pending) > 0
 }
 
-// take empties the queue. The records are in the order of their VM ids: the
+// Take empties the queue. The records are in the order of their VM ids: the
 // first one selects the tree, which must not depend on a map's order.
-func (q *updateQueue) take() ([]member.Member, spread.Origin) {
+func (q *UpdateQueue) Take() ([]member.Member, spread.Origin) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := make([]member.Member, 0, len(q.pending))
--- a/internal/control/watch_shard.go
+++ b/internal/control/state/watch_shard.go
@@ -1,4 +1,4 @@
-package control
+package state
 
 import (
 	"sync"
--- a/internal/control/zone_state.go
+++ b/internal/control/state/zones.go
@@ -1,20 +1,20 @@
-package control
+package state
 
 import (
 	"sync"
 	"time"
 )
 
-// zoneState records when any node last heard from each availability zone, as
+// Zones records when any node last heard from each availability zone, as
 // far as this node knows.
-type zoneState struct {
+type Zones struct {
 	// mu guards lastHeard.
 	mu        sync.Mutex
 	lastHeard map[string]time.Time
 }
 
-// hear moves a zone's time forward.
-func (z *zoneState) hear(zone string, at time.Time) {
+// Hear moves a zone's time forward.
+func (z *Zones) Hear(zone string, at time.Time) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	if z.lastHeard == nil {
@@ -25,9 +25,9 @@
 	}
 }
 
-// silence returns how long nothing has been heard from a zone. The time of a
+// Silence returns how long nothing has been heard from a zone. The time of a
 // zone that is new to the node starts now.
-func (z *zoneState) silence(zone string, now time.Time) time.Duration {
+func (z *Zones) Silence(zone string, now time.Time) time.Duration {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	at, ok := z.lastHeard[zone]
@@ -41,8 +41,8 @@
 	return now.Sub(at)
 }
 
-// ages returns the silence of each zone in milliseconds.
-func (z *zoneState) ages(now time.Time) map[string]int64 {
+// Ages returns the silence of each zone in milliseconds.
+func (z *Zones) Ages(now time.Time) map[string]int64 {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	out := make(map[string]int64, len(z.lastHeard))
@@ -52,7 +52,7 @@
 	return out
 }
 
-func (z *zoneState) reset() {
+func (z *Zones) Reset() {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	clear(z.lastHeard)
--- a/internal/control/suspicion.go
+++ b/internal/control/suspicion.go
@@ -18,9 +18,9 @@
 	switch m.Status {
 	case member.Alive:
 		m.Status = member.Suspect
-		a.watches.suspect(m)
+		a.watches.Suspect(m)
 	case member.Suspect:
-		if a.watches.suspectedHere(m) {
+		if a.watches.SuspectedHere(m) {
 			return
 		}
 		m.Status = member.Dead
@@ -50,7 +50,7 @@
 	}
 	m.Status = member.Dead
 	m.ChangedAt = now.UnixMilli()
-	if a.watches.suspectedHere(m) {
+	if a.watches.SuspectedHere(m) {
 		a.noteMember(now, m, out)
 		return
 	}
--- a/internal/control/zones.go
+++ b/internal/control/zones.go
@@ -13,7 +13,7 @@
 // records and are probed as before, so that a zone that returns counts again
 // with the first answer.
 func (a *Agent) ZoneSuspect(now time.Time, zone string) bool {
-	view, self := a.table.View(now), a.self.get()
+	view, self := a.table.View(now), a.self.Get()
 	if gone, all := view.ZoneLosses(zone); 2*gone > all {
 		return true
 	}
@@ -25,19 +25,19 @@
 	if members[0].Region != self.Region {
 		limit = zoneSilenceFar
 	}
-	return a.zones.silence(zone, now) > limit
+	return a.zones.Silence(zone, now) > limit
 }
 
 // hearZones merges what a peer knows of the zones. What it heard is older by
 // the message's delay than the ages tell; the limits leave room for that.
 func (a *Agent) hearZones(now time.Time, m *message.Heartbeat) {
-	self := a.self.get()
+	self := a.self.Get()
 	if m.From.Zone != self.Zone {
-		a.zones.hear(m.From.Zone, now)
+		a.zones.Hear(m.From.Zone, now)
 	}
 	for zone, age := range m.ZoneAgesMs {
 		if zone != self.Zone && age >= 0 {
-			a.zones.hear(zone, now.Add(-time.Duration(age)*time.Millisecond))
+			a.zones.Hear(zone, now.Add(-time.Duration(age)*time.Millisecond))
 		}
 	}
 }
@@ -51,7 +51,7 @@
 	if len(dead) == 0 {
 		return
 	}
-	m := dead[a.rng.intN(len(dead))]
+	m := dead[a.rng.IntN(len(dead))]
 	if m.Region == self.Region {
 		out.send(self, m, a.heartbeat(now, false))
 	}
--- a/internal/standin/link/forwarder.go
+++ b/internal/standin/link/forwarder.go
@@ -11,9 +11,6 @@
 // reading, like a full window.
 const queueChunks = 256
 
-// Delay returns the one-way delay between the dialling address and the target.
-type Delay func(from net.Addr) time.Duration
-
 // Forwarder forwards the connections of one listener. It is safe for
 // concurrent use.
 type Forwarder struct {
--- a/internal/standin/platformserver/value_shard.go
+++ b/internal/standin/platformserver/value_shard.go
@@ -5,13 +5,6 @@
 	"time"
 )
 
-// value is one revision of a key.
-type value struct {
-	revision uint64
-	data     []byte
-	at       time.Time
-}
-
 // valueShard holds part of the keys with their recent revisions.
 type valueShard struct {
 	// mu guards history and changed.
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -15,9 +15,6 @@
 	sections map[manifest.Digest][]byte
 }
 
-// SectionSource returns the content of a section by digest.
-type SectionSource func(manifest.Digest) ([]byte, bool)
-
 // Build verifies an envelope and compiles its sections. It returns
 // *manifest.SignatureError, *manifest.MalformedError, *MissingSectionsError or
 // *config.InvalidDocumentError; nothing is kept after an error.
