--- a/internal/dataplane/issue_key.go
+++ b/internal/dataplane/issue_key.go
@@ -18,14 +18,7 @@
 	if x.r.Method != http.MethodPost {
 		return call.NewProblem(call.ProblemBadRequest, call.RanNo, "use POST", nil)
 	}
-	if !s.control.Ready(now) {
-		return call.NewProblem(call.ProblemNotReady, call.RanNo, "", nil)
-	}
-	required, err := call.ParseVersion(x.r.Header)
-	if err != nil {
-		return err
-	}
-	if x.snap, err = s.snapshotFor(x.r.Context(), required); err != nil {
+	if _, err := s.chooseVersion(now, x); err != nil {
 		return err
 	}
 	name := x.r.URL.Query().Get("route")
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -12,6 +12,7 @@
 	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/internal/routing"
+	"github.com/filbertpier/filbertpier/snapshot"
 )
 
 // Server serves calls from callers, upstreams and other nodes. It is an
@@ -128,16 +129,24 @@
 	return s.serveEntry(x)
 }
 
-// open checks the node's state and reads the call.
-func (s *Server) open(now time.Time, x *exchange) error {
+// chooseVersion checks that the node may serve and sets the snapshot to serve
+// under. It returns the version that the request requires, or a *call.Problem.
+func (s *Server) chooseVersion(now time.Time, x *exchange) (snapshot.ID, error) {
 	if !s.control.Ready(now) {
-		return call.NewProblem(call.ProblemNotReady, call.RanNo, "", nil)
+		return snapshot.ID{}, call.NewProblem(call.ProblemNotReady, call.RanNo, "", nil)
 	}
 	required, err := call.ParseVersion(x.r.Header)
 	if err != nil {
-		return err
+		return snapshot.ID{}, err
 	}
-	if x.snap, err = s.snapshotFor(x.r.Context(), required); err != nil {
+	x.snap, err = s.snapshotFor(x.r.Context(), required)
+	return required, err
+}
+
+// open checks the node's state and reads the call.
+func (s *Server) open(now time.Time, x *exchange) error {
+	required, err := s.chooseVersion(now, x)
+	if err != nil {
 		return err
 	}
 	c, err := call.Parse(now, x.r, x.snap.Document)
