Collect garbage earlier: 46.0 MB instead of 59.5 MB while versions change

Cause: make bench-convergence showed 59.5 MB resident per node while a 190 KB document changes every two seconds; the limit for control is 64 MB and the member table of 7,300 nodes is still to come. Ruled out: the member table (2.5 MB at 7,300 records) and kept syntax trees (released after compiling). Change: fpnode sets a garbage collection target of 50 unless GOGC is set.

--- a/cmd/fpnode/main.go
+++ b/cmd/fpnode/main.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -17,6 +18,10 @@
 // settingsVariable holds the settings on VMs without a disk.
 const settingsVariable = "FILBERTPIER_SETTINGS"
 
+// gcPercent keeps a node below 64 MB while versions change: at Go's default of
+// 100 it took 59.5 MB, at 50 it takes 46.0 MB and a fifth more processor time.
+const gcPercent = 50
+
 func main() {
 	app := kingpin.New("fpnode", "filbertpier node: routes calls and distributes the configuration.")
 	path := app.Flag("settings", "Settings file in JSON with comments; - reads standard input. Without it, "+settingsVariable+" holds the settings.").String()
@@ -42,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	log.Info("node started", "vm", s.VM, "zone", s.Zone, "region", s.Region)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
