Forget what routing observed of upstreams that are no longer used

Change: after an attempt, at most once in five minutes, observations that were not used for as long are dropped. Before: TestBeliefsOfGoneUpstreamsAreForgotten '100 upstreams are remembered, want 1'. After: it passes with -race.

--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -120,9 +120,19 @@
 	s.picker.Finish(now, to, routing.Result{
 		Outcome: outcomeOf(err), Order: x.call.Rank.Order, Latency: now.Sub(start), Report: x.load,
 	})
+	s.expireBeliefs(now)
 	return err
 }
 
+// expireBeliefs drops the observations of upstreams that are no longer used,
+// once per beliefMemory.
+func (s *Server) expireBeliefs(now time.Time) {
+	last := s.expired.Load()
+	if now.UnixNano()-last >= int64(beliefMemory) && s.expired.CompareAndSwap(last, now.UnixNano()) {
+		s.picker.Expire(now.Add(-beliefMemory))
+	}
+}
+
 func (s *Server) sendTo(x *exchange, to member.Member) error {
 	if to.VM == s.control.Self().VM {
 		err := s.serveLocal(x)
--- /dev/null
+++ b/internal/dataplane/expire_test.go
@@ -0,0 +1,30 @@
+package dataplane
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/member"
+	"github.com/filbertpier/filbertpier/internal/routing"
+)
+
+// Guards against memory that grows with each VM that was ever called: 1,700 VMs
+// are replaced a day.
+func TestBeliefsOfGoneUpstreamsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{picker: routing.NewPicker()}
+		x := &exchange{call: &call.Call{Rank: &config.Rank{}}}
+		for i := range 100 {
+			_ = s.observed(x, member.Member{VM: fmt.Sprint("vm-", i), Boot: 1}, func() error { return nil })
+		}
+		time.Sleep(2 * beliefMemory)
+		_ = s.observed(x, member.Member{VM: "vm-0", Boot: 1}, func() error { return nil })
+		if n := s.picker.Tracked(); n != 1 {
+			t.Errorf("%d upstreams are remembered, want 1", n)
+		}
+	})
+}
--- a/internal/dataplane/limits.go
+++ b/internal/dataplane/limits.go
@@ -14,6 +14,9 @@
 	dialTimeout = time.Second
 	// defaultConnections is used until a version tells the upstream's limit.
 	defaultConnections = 100
+	// beliefMemory is how long the observations of an upstream outlive its last
+	// use; routing weighs none of them for longer than a minute.
+	beliefMemory = 5 * time.Minute
 	// viewWait and viewWaits bound the wait of a call for a first upstream. A
 	// view of the fleet is rebuilt at most every 100 ms.
 	viewWait  = 120 * time.Millisecond
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -29,6 +29,9 @@
 	keys     *once.Table
 	crashes  *crashGuard
 	draining atomic.Bool
+	// expired is when unused observations were last dropped, in Unix
+	// nanoseconds.
+	expired atomic.Int64
 }
 
 // NewServer returns a server for the upstream that cfg names.
--- a/internal/routing/beliefs.go
+++ b/internal/routing/beliefs.go
@@ -33,3 +33,14 @@
 		b.shards[i].expire(since)
 	}
 }
+
+func (b *beliefs) size() int {
+	n := 0
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		n += len(s.byVM)
+		s.mu.Unlock()
+	}
+	return n
+}
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -121,3 +121,6 @@
 
 // Expire forgets VMs that were neither considered nor observed since a time.
 func (p *Picker) Expire(since time.Time) { p.beliefs.expire(since) }
+
+// Tracked returns the number of VMs that the picker remembers.
+func (p *Picker) Tracked() int { return p.beliefs.size() }
