Give the VMs of test clusters fixed ports below the ephemeral range

Ports were found by listening on port 0 and closing; nodes dial from the VM's address, so an outgoing connection could take the port before the node listened on it (again). No assertion changed.

--- a/internal/testkit/nodes/cluster.go
+++ b/internal/testkit/nodes/cluster.go
@@ -68,11 +68,11 @@
 	for _, zone := range c.spec.Zones {
 		for round := range max(c.spec.Rounds, 1) {
 			for _, service := range c.spec.Services {
-				ip := fmt.Sprintf("127.40.%d.%d", 1+os.Getpid()%250, 1+nextHost.Add(1)%250)
+				ip := nextIP()
 				v := &VM{Settings: settings.Node{
 					VM: fmt.Sprintf("%s-%s-%d", zone, service, round), Zone: zone, Region: region, Service: service,
-					Listen:   settings.Listen{Calls: c.freeAddr(ip), Peers: c.freeAddr(ip), Admin: c.freeAddr(ip)},
-					Upstream: c.freeAddr(ip), JoinTimeoutMs: 500, DrainMs: c.spec.DrainMs,
+					Listen:   settings.Listen{Calls: addr(ip, callPort), Peers: addr(ip, peerPort), Admin: addr(ip, adminPort)},
+					Upstream: addr(ip, upstreamPort), JoinTimeoutMs: 500, DrainMs: c.spec.DrainMs,
 				}}
 				if c.spec.Links {
 					f, err := link.Listen(ip+":0", v.Settings.Listen.Calls, func(net.Addr) time.Duration { return 0 })
@@ -85,13 +85,25 @@
 	}
 }
 
-func (c *Cluster) freeAddr(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	c.check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// Ports of a VM. They are below the range from which the system takes the ports
+// of outgoing connections: nodes dial from the VM's address, and a dialled
+// connection took the port that a node was about to listen on again.
+const (
+	callPort     = 8080
+	peerPort     = 8081
+	adminPort    = 8082
+	upstreamPort = 8090
+)
+
+// nextIP returns a loopback address that no other VM of this process has, nor one
+// of another test process with a process id less than 10,000 away.
+func nextIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 60+pid/250%40, 1+pid%250, 1+nextHost.Add(1)%250)
 }
 
+func addr(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+
 func (c *Cluster) startPlatform() {
 	p := platformserver.New()
 	pub := testkit.NewPublisher()
