--- a/internal/call/headers.go
+++ b/internal/call/headers.go
@@ -19,8 +19,6 @@
 	// HeaderTarget names the VM beside whose upstream a call is to run; set by
 	// the entry node.
 	HeaderTarget = "Filbertpier-Target"
-	// HeaderRoute names the route that the entry node matched.
-	HeaderRoute = "Filbertpier-Route"
 	// HeaderIdempotencyKey identifies a non-idempotent call.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderExpires is the deadline by the entry node's clock, in Unix
--- a/internal/control/agent.go
+++ b/internal/control/agent.go
@@ -163,6 +163,11 @@
 // Self returns the node's own record.
 func (a *Agent) Self() member.Member { return a.self.Get() }
 
+// Neighbours returns the members that this node monitors.
+func (a *Agent) Neighbours(now time.Time) []member.Member {
+	return a.neighbours(a.table.View(now), a.self.Get())
+}
+
 // Refused returns the versions refused for their content and why.
 func (a *Agent) Refused() map[snapshot.ID]error { return a.refused.All() }
 
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -83,7 +83,7 @@
 func (a *Agent) beatSuccessors(now time.Time, view *member.View, self member.Member, out *effects) {
 	limit := missedIntervals * a.cfg.HeartbeatInterval * 3 / 2
 	keep := map[string]bool{}
-	for _, m := range view.Successors(self, watchedSuccessors) {
+	for _, m := range a.neighbours(view, self) {
 		keep[m.VM] = true
 		out.send(self, m, a.heartbeat(now, false))
 		if silent := a.watches.Since(m.VM, now); silent > limit {
@@ -139,3 +139,8 @@
 	m := members[a.rng.IntN(len(members))]
 	return m, m.VM != self.VM
 }
+
+// neighbours returns the ring successors that a node monitors.
+func (a *Agent) neighbours(view *member.View, self member.Member) []member.Member {
+	return view.Successors(self, watchedSuccessors)
+}
--- a/internal/control/offer.go
+++ b/internal/control/offer.go
@@ -13,11 +13,7 @@
 // onOffer starts fetching a version that a peer holds, if it is news. vm is
 // empty if the holder is not known.
 func (a *Agent) onOffer(now time.Time, id snapshot.ID, vm string, out *effects) {
-	current := a.store.CurrentID()
-	if id.Version == current.Version && id != current && !id.IsZero() {
-		out.log(effect.EventVersionConflict, "version", id.Version, "digest", id.Digest.String(), "own_digest", current.Digest.String())
-	}
-	if !current.Less(id) || a.refused.Has(id) {
+	if !a.wants(id, out) {
 		return
 	}
 	if vm == "" && a.transfers.withoutSource() >= maxCallerTransfers {
@@ -47,6 +43,16 @@
 	}
 }
 
+// wants reports whether a version is news that the node has not refused. A second
+// manifest with the version number in force is reported as a conflict.
+func (a *Agent) wants(id snapshot.ID, out *effects) bool {
+	current := a.store.CurrentID()
+	if id.Version == current.Version && id != current && !id.IsZero() {
+		out.log(effect.EventVersionConflict, "version", id.Version, "digest", id.Digest.String(), "own_digest", current.Digest.String())
+	}
+	return current.Less(id) && !a.refused.Has(id)
+}
+
 func (a *Agent) nearness(vm string) nearness {
 	m, ok := a.table.Get(vm)
 	switch {
--- a/internal/control/platform_answers.go
+++ b/internal/control/platform_answers.go
@@ -59,11 +59,8 @@
 		return
 	}
 	id := snapshot.ID{Version: m.Version, Digest: env.Digest()}
-	current := a.store.CurrentID()
-	if id.Version == current.Version && id != current {
-		out.log(effect.EventVersionConflict, "version", id.Version, "digest", id.Digest.String(), "own_digest", current.Digest.String())
-	}
-	if !current.Less(id) || a.refused.Has(id) {
+	empty := a.store.Current() == nil
+	if !a.wants(id, out) {
 		return
 	}
 	created := false
@@ -77,7 +74,7 @@
 	if a.adopt(now, env, nil, spread.FromPlatform, out) {
 		return
 	}
-	if a.self.Get().Region == a.cfg.PlatformRegion || current.IsZero() {
+	if a.self.Get().Region == a.cfg.PlatformRegion || empty {
 		a.readMissing(now, id, out)
 	}
 	if created {
--- a/internal/dataplane/entry.go
+++ b/internal/dataplane/entry.go
@@ -51,14 +51,7 @@
 		return false
 	}
 	x.retrying = true
-	timer := time.NewTimer(d.Delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-x.base.Done():
-		return false
-	}
+	return x.wait(d.Delay)
 }
 
 // afterAttempts returns the outcome of a call after its last attempt. A call of
@@ -94,11 +87,7 @@
 			return d, problem
 		}
 		s.cfg.Decisions.Line("upstream-awaited", "route", x.call.Route.Name, "service", service.Name, "attempt", n)
-		timer := time.NewTimer(viewWait)
-		select {
-		case <-timer.C:
-		case <-x.base.Done():
-			timer.Stop()
+		if !x.waitForView() {
 			return d, problem
 		}
 	}
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -75,3 +76,19 @@
 	_, err := once.ParseKey(x.r.Header.Get(call.HeaderIdempotencyKey))
 	return err == nil
 }
+
+// waitForView waits until the view of the fleet may have been rebuilt. It
+// reports whether the call still runs.
+func (x *exchange) waitForView() bool { return x.wait(viewWait) }
+
+// wait waits for d and reports whether the call still runs.
+func (x *exchange) wait(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-x.base.Done():
+		return false
+	}
+}
--- a/internal/dataplane/keyed.go
+++ b/internal/dataplane/keyed.go
@@ -46,11 +46,7 @@
 		if ok && owner.Boot >= key.Boot || n == viewWaits {
 			return owner, ok
 		}
-		timer := time.NewTimer(viewWait)
-		select {
-		case <-timer.C:
-		case <-x.base.Done():
-			timer.Stop()
+		if !x.waitForView() {
 			return owner, ok
 		}
 	}
--- a/internal/node/admin_view.go
+++ b/internal/node/admin_view.go
@@ -9,10 +9,6 @@
 	"github.com/filbertpier/filbertpier/internal/member"
 )
 
-// neighbourCount is the number of ring successors that the control logic
-// watches.
-const neighbourCount = 3
-
 // serveAdmin starts the administration API. It returns a *ListenError.
 func (n *Node) serveAdmin() (*http.Server, error) {
 	addr := n.settings.Listen.Admin
@@ -69,7 +65,7 @@
 // Neighbours implements admin.Node.
 func (n *Node) Neighbours() []string {
 	out := []string{}
-	for _, m := range n.agent.Table().View(time.Now()).Successors(n.agent.Self(), neighbourCount) {
+	for _, m := range n.agent.Neighbours(time.Now()) {
 		out = append(out, m.VM)
 	}
 	return out
