Add routes by host, splits and announced slots to the document; a replica of published items

Cause: the prepared platform selects routes by host and prefix, splits calls by weight and lists upstreams with their own slots; the document had none of these. Ruled out: a second document model in the adapter.

--- a/config/compile.go
+++ b/config/compile.go
@@ -11,6 +11,20 @@
 	return r.Document, nil
 }
 
+// CompileBody checks one decoded section as a whole document, for publications
+// in another format than the text of sections. It returns an
+// *InvalidDocumentError like Compile; faults carry no line.
+func CompileBody(body SectionBody) (*Document, error) {
+	c := newCompiler(MaxKeptFaults)
+	c.addSource(&source{section: Section{Name: body.Section, Owner: body.Owner}, body: body, broken: map[string]bool{}})
+	c.checkReferences()
+	c.finish(false)
+	if err := c.report.Err(); err != nil {
+		return nil, err
+	}
+	return c.report.Document, nil
+}
+
 // Check does what Compile does, lists up to MaxFaults faults and also looks for
 // what is valid but probably not meant.
 func Check(sections []Section) *Report { return check(sections, MaxFaults, true) }
@@ -23,14 +37,6 @@
 		}
 		c.checkReferences()
 	}
-	if len(c.report.Faults) == 0 {
-		c.doc.sortRoutes()
-		c.doc.sortRanks()
-		if warn {
-			c.lint()
-		}
-		c.report.Document = c.doc
-	}
-	c.report.sort()
+	c.finish(warn)
 	return &c.report
 }
--- a/config/compiler.go
+++ b/config/compiler.go
@@ -50,7 +50,7 @@
 	if src.broken[pointer] {
 		return
 	}
-	c.add(Fault{Section: src.section.Name, Line: src.text.Line(pointer), Rule: rule, Detail: fmt.Sprintf(format, args...)})
+	c.add(Fault{Section: src.section.Name, Line: src.line(pointer), Rule: rule, Detail: fmt.Sprintf(format, args...)})
 }
 
 func (c *compiler) warn(src *source, pointer, rule, format string, args ...any) {
@@ -58,7 +58,7 @@
 		return
 	}
 	c.report.Warnings = append(c.report.Warnings,
-		Fault{Section: src.section.Name, Line: src.text.Line(pointer), Rule: rule, Detail: fmt.Sprintf(format, args...)})
+		Fault{Section: src.section.Name, Line: src.line(pointer), Rule: rule, Detail: fmt.Sprintf(format, args...)})
 }
 
 // checkSize reports whether the document is small enough to be decoded.
@@ -106,6 +106,24 @@
 		c.unread = true
 		return
 	}
+	c.addSource(src)
+}
+
+// finish completes the document if it has no faults and sorts the report.
+func (c *compiler) finish(warn bool) {
+	if len(c.report.Faults) == 0 {
+		c.doc.sortRoutes()
+		c.doc.sortRanks()
+		c.doc.index = newRouteIndex(c.doc.routes)
+		if warn {
+			c.lint()
+		}
+		c.report.Document = c.doc
+	}
+	c.report.sort()
+}
+
+func (c *compiler) addSource(src *source) {
 	c.sources = append(c.sources, src)
 	c.checkHeader(src)
 	for i := range src.body.Ranks {
@@ -120,6 +138,9 @@
 	for i := range src.body.Routes {
 		c.addRoute(src, fmt.Sprintf("/routes/%d", i), &src.body.Routes[i])
 	}
+	if src.body.Callers != nil {
+		c.doc.callers = *src.body.Callers
+	}
 }
 
 // checkHeader compares what the text says about itself with the manifest, so
--- a/config/compiler_checks.go
+++ b/config/compiler_checks.go
@@ -63,7 +63,10 @@
 	case !validName(s.Selector):
 		c.fault(src, at+"/selector", RuleNameForm, "selector %.80q", s.Selector)
 	}
-	if s.Slots <= 0 || s.Slots > MaxSlots {
+	if s.SlotsAnnounced && s.Slots != 0 {
+		c.fault(src, at+"/slots", RuleRange, "slots is %d, but the upstreams announce theirs", s.Slots)
+	}
+	if !s.SlotsAnnounced && (s.Slots <= 0 || s.Slots > MaxSlots) {
 		c.fault(src, at+"/slots", RuleRange, "slots is %d, want 1 to %d", s.Slots, MaxSlots)
 	}
 	switch {
@@ -106,7 +109,7 @@
 	if matchesPrefix(r.PathPrefix, ReservedPrefix) {
 		c.fault(src, at+"/pathPrefix", RuleReservedPath, "nodes answer %s themselves; the route is never reached", ReservedPrefix)
 	}
-	match := r.Method + " " + r.PathPrefix
+	match := strings.TrimSpace(r.Method+" "+r.Host) + " " + r.PathPrefix
 	if first, ok := c.matches[match]; ok {
 		c.fault(src, at+"/pathPrefix", RuleDuplicateMatch, "route %q already matches %s; this one is never reached", first, strings.TrimSpace(match))
 		return
--- a/config/compiler_references.go
+++ b/config/compiler_references.go
@@ -15,6 +15,15 @@
 		if _, ok := c.doc.services[r.Service]; !ok {
 			c.fault(src, at+"/service", RuleUnknownService, "route %q points at unknown service %.80q", r.Name, r.Service)
 		}
+		for i, part := range r.Split {
+			pointer := fmt.Sprintf("%s/split/%d", at, i)
+			if _, ok := c.doc.services[part.Service]; !ok {
+				c.fault(src, pointer+"/service", RuleUnknownService, "route %q sends a part to unknown service %.80q", r.Name, part.Service)
+			}
+			if part.Weight < 0 {
+				c.fault(src, pointer+"/weight", RuleNonNegative, "weight is %g", part.Weight)
+			}
+		}
 		if _, ok := c.doc.ranks[r.Rank]; !ok {
 			c.fault(src, at+"/rank", RuleUnknownRank, "route %q uses unknown rank %.80q", r.Name, r.Rank)
 		}
--- a/config/document.go
+++ b/config/document.go
@@ -13,6 +13,8 @@
 	routes   []*Route
 	retries  map[string]*RetryPolicy
 	ordered  []*Rank
+	callers  CallerLimits
+	index    routeIndex
 }
 
 // Rank returns the rank with that name.
@@ -60,18 +62,19 @@
 	return out
 }
 
-// MatchRoute returns the route with the longest matching path prefix; among
-// equal prefixes one that names the method goes before one that matches any.
+// CallerLimits returns the limits on what callers send.
+func (d *Document) CallerLimits() CallerLimits { return d.callers }
+
+// MatchRoute returns the route of a call among those that name no host.
 func (d *Document) MatchRoute(method, path string) (*Route, bool) {
-	for _, r := range d.routes {
-		if r.Method != "" && r.Method != method {
-			continue
-		}
-		if matchesPrefix(path, r.PathPrefix) {
-			return r, true
-		}
-	}
-	return nil, false
+	return d.Match("", method, path)
+}
+
+// Match returns the route of a call to a host: the longest matching path prefix
+// among the routes that name the host, else among those that name none. Among
+// equal prefixes one that names the method goes before one that matches any.
+func (d *Document) Match(host, method, path string) (*Route, bool) {
+	return d.index.match(host, method, path)
 }
 
 func matchesPrefix(path, prefix string) bool {
--- a/config/section_body.go
+++ b/config/section_body.go
@@ -8,4 +8,5 @@
 	Services []Service     `json:"services,omitempty"`
 	Routes   []Route       `json:"routes,omitempty"`
 	Retries  []RetryPolicy `json:"retries,omitempty"`
+	Callers  *CallerLimits `json:"callers,omitempty"`
 }
--- a/config/service.go
+++ b/config/service.go
@@ -7,8 +7,14 @@
 	// Selector names the service label of the VMs whose upstreams belong to
 	// this service.
 	Selector string `json:"selector"`
-	// Slots is the number of calls that one upstream runs at once.
+	// Slots is the number of calls that one upstream runs at once. It is zero
+	// if the upstreams announce their slots themselves.
 	Slots int `json:"slots"`
+	// SlotsAnnounced is set if each upstream announces its own slots.
+	SlotsAnnounced bool `json:"slotsAnnounced,omitempty"`
+	// HealthPath is the path of the upstreams' health endpoint; empty if they
+	// have none.
+	HealthPath string `json:"healthPath,omitempty"`
 	// Connections is the number of connections that one upstream accepts.
 	Connections int `json:"connections"`
 }
--- a/config/source.go
+++ b/config/source.go
@@ -36,3 +36,11 @@
 	src.text = text
 	return src, faults
 }
+
+// line returns the line of a value, or 0 for a source without text.
+func (s *source) line(pointer string) int {
+	if s.text == nil {
+		return 0
+	}
+	return s.text.Line(pointer)
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -34,7 +34,7 @@
 
 // Parse reads a call's headers against a document. It returns a *Problem.
 func Parse(now time.Time, r *http.Request, doc *config.Document) (*Call, error) {
-	route, ok := doc.MatchRoute(r.Method, r.URL.Path)
+	route, ok := doc.Match(r.Host, r.Method, r.URL.Path)
 	if !ok {
 		return nil, NewProblem(ProblemNoRoute, RanNo, r.Method+" "+r.URL.Path, nil)
 	}
--- a/internal/ctl/compare/named.go
+++ b/internal/ctl/compare/named.go
@@ -18,7 +18,7 @@
 }
 
 // named appends the differences between two sets of structs, by name.
-func named[T comparable](out []Change, kind string, old, next map[string]T) []Change {
+func named[T any](out []Change, kind string, old, next map[string]T) []Change {
 	names := map[string]bool{}
 	for name := range old {
 		names[name] = true
@@ -34,7 +34,7 @@
 			out = append(out, Change{Kind: kind, Name: name, Action: ActionAdded})
 		case !isThere:
 			out = append(out, Change{Kind: kind, Name: name, Action: ActionRemoved})
-		case a != b:
+		case !reflect.DeepEqual(a, b):
 			out = append(out, Change{Kind: kind, Name: name, Action: ActionChanged, Fields: changedFields(a, b)})
 		}
 	}
@@ -47,7 +47,7 @@
 	var out []string
 	for i := range va.NumField() {
 		x, y := va.Field(i).Interface(), vb.Field(i).Interface()
-		if x != y {
+		if !reflect.DeepEqual(x, y) {
 			name, _, _ := strings.Cut(va.Type().Field(i).Tag.Get("json"), ",")
 			out = append(out, fmt.Sprintf("%s: %v -> %v", name, x, y))
 		}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,47 @@
+package instance
+
+import "time"
+
+// Instance is one start of an upstream. It is immutable.
+type Instance struct {
+	// ID names this start; a restart mostly has another one.
+	ID      string
+	Service string
+	// Addr is the upstream's own address, host:port. Only processes on its VM
+	// reach it; the host is the address of the VM's node too.
+	Addr   string
+	Zone   string
+	Region string
+	// Slots is how many calls the upstream runs at once.
+	Slots int
+	State State
+	// Born is the start in Unix milliseconds; zero if unknown. A restart under
+	// the same ID has a later one.
+	Born int64
+	// ColdUntil is when the upstream runs at full speed, by this node's clock.
+	ColdUntil time.Time
+	// Since is when this node learnt the state, by this node's clock.
+	Since time.Time
+	// Revision is the platform's revision of the entry.
+	Revision uint64
+}
+
+// lapsedGrace is how long after its entry vanished an instance may still be
+// used. Entries that expired in an outage come back within two seconds; a
+// removed upstream must not get calls for longer than the drain bound, 2.5 s
+// where it is shortest.
+const lapsedGrace = 2200 * time.Millisecond
+
+// StateAt returns the state at a time.
+func (i *Instance) StateAt(now time.Time) State {
+	if i.State == Lapsed && now.Sub(i.Since) >= lapsedGrace {
+		return Gone
+	}
+	return i.State
+}
+
+// Serves reports whether the instance may get new work at a time.
+func (i *Instance) Serves(now time.Time) bool {
+	s := i.StateAt(now)
+	return s == Ready || s == Lapsed
+}
--- /dev/null
+++ b/internal/replica/item.go
@@ -0,0 +1,11 @@
+package replica
+
+// Item is one key of the platform at a revision.
+type Item struct {
+	Key string `json:"key"`
+	// Value is the published value; empty if the key was deleted.
+	Value []byte `json:"value,omitempty"`
+	// Revision is the platform's revision of the last change.
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
--- /dev/null
+++ b/internal/replica/page.go
@@ -0,0 +1,8 @@
+package replica
+
+// Page is an answer of the platform or of a peer.
+type Page struct {
+	Items []Item `json:"items"`
+	// At is the revision that the answer is complete to.
+	At uint64 `json:"at"`
+}
--- /dev/null
+++ b/internal/replica/table.go
@@ -0,0 +1,94 @@
+package replica
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// tableShards spreads one item per server.
+const tableShards = 32
+
+// Table is the node's copy. It is safe for concurrent use.
+type Table struct {
+	shards [tableShards]shard
+	// mu guards at and orders Merge, so that observers see the changes of one
+	// key in the order of their revisions.
+	mu sync.Mutex
+	at uint64
+	// observe is called with each change, one at a time.
+	observe func(Item)
+}
+
+// NewTable returns an empty table that reports each change to observe.
+func NewTable(observe func(Item)) *Table {
+	t := &Table{observe: observe}
+	for i := range t.shards {
+		t.shards[i].items = map[string]Item{}
+	}
+	return t
+}
+
+func (t *Table) shard(key string) *shard { return &t.shards[xxhash.Sum64String(key)%tableShards] }
+
+// At returns the revision that the table is complete to.
+func (t *Table) At() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.at
+}
+
+// Merge adds changes and returns how many were news.
+func (t *Table) Merge(p Page) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := t.put(p.Items)
+	t.at = max(t.at, p.At)
+	return news
+}
+
+// Replace merges a whole list: keys that it lacks were deleted, unless they
+// changed after it was made.
+func (t *Table) Replace(p Page) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]bool, len(p.Items))
+	for _, i := range p.Items {
+		listed[i.Key] = true
+	}
+	items := p.Items
+	for _, i := range t.since(0) {
+		if !i.Deleted && !listed[i.Key] && i.Revision <= p.At {
+			items = append(items, Item{Key: i.Key, Revision: max(p.At, i.Revision+1), Deleted: true})
+		}
+	}
+	news := t.put(items)
+	t.at = max(t.at, p.At)
+	return news
+}
+
+func (t *Table) put(items []Item) int {
+	news := 0
+	for _, i := range items {
+		if t.shard(i.Key).put(i) {
+			news++
+			t.observe(i)
+		}
+	}
+	return news
+}
+
+// Since returns the changes after a revision, deletions included.
+func (t *Table) Since(after uint64) Page {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Page{Items: t.since(after), At: t.at}
+}
+
+func (t *Table) since(after uint64) []Item {
+	var out []Item
+	for i := range t.shards {
+		out = t.shards[i].appendSince(out, after)
+	}
+	return out
+}
