Serve the prepared platform: mesh data plane, adapter in platform/, deploy file

Cause: the platform has its own names, lists upstreams instead of VMs and puts a node between each server and its callers; the product's data plane needs keys for non-idempotent calls, a VM list and signed manifests, which do not exist there. Change: internal/mesh (entry, admission beside the upstream, forwarding), internal/placement (least expected finish), internal/httpconn (connections that never resend), internal/replica (store watch, peers by JSON-RPC), internal/sidecar (assembly), cmd/fpsidecar, platform/, deploy/.

--- /dev/null
+++ b/cmd/fpsidecar/main.go
@@ -0,0 +1,88 @@
+// Command fpsidecar is the node on VMs of the prepared platform, whose callers
+// sit on the VM itself.
+package main
+
+import (
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/filbertpier/filbertpier/internal/settings"
+	"github.com/filbertpier/filbertpier/internal/sidecar"
+	"github.com/filbertpier/filbertpier/platform"
+)
+
+const (
+	// gcPercent trades memory for processor time: a node's live heap is a few
+	// megabytes.
+	gcPercent = 400
+	// memoryShare is the part of the node's memory limit from which garbage is
+	// collected more often.
+	memoryShare = 0.6
+)
+
+func main() {
+	app := kingpin.New("fpsidecar", "filbertpier node for VMs whose callers sit beside it.")
+	path := app.Flag("settings", "Settings file of the platform.").Envar(platform.SettingsVariable).Required().String()
+	level := app.Flag("log-level", "trace, debug, info, warn or error.").Default("info").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	log := hclog.New(&hclog.LoggerOptions{Name: "fpsidecar", JSONFormat: true, Output: os.Stdout, Level: hclog.LevelFromString(*level)})
+	if err := run(*path, log); err != nil {
+		log.Error("the node cannot start", "error", err.Error())
+		os.Exit(1)
+	}
+}
+
+func run(path string, log hclog.Logger) error {
+	s, err := load(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(gcPercent)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	n, err := sidecar.Start(s, sidecar.Adapter{
+		Names:     platform.Names(),
+		Source:    platform.NewStore(s.Store),
+		Decoder:   platform.NewDecoder(s.Regions, s.RetryRatio),
+		ReadyPath: platform.ReadyPath, MetricsPath: platform.MetricsPath,
+	}, log)
+	if err != nil {
+		return err
+	}
+	log.Info("node started", "vm", s.VM, "zone", s.Zone, "region", s.Region, "service", s.Service)
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		reload(path, log)
+	}
+	log.Info("node stopping")
+	n.Stop()
+	return nil
+}
+
+func load(path string) (*settings.Mesh, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &settings.FileError{Path: path, Err: err}
+	}
+	return platform.DecodeSettings(raw)
+}
+
+// reload checks changed settings. Addresses and the place of the VM take
+// effect at the next start.
+func reload(path string, log hclog.Logger) {
+	if _, err := load(path); err != nil {
+		log.Error("changed settings refused, the old ones stay in force", "error", err.Error())
+		return
+	}
+	log.Info("settings read again")
+}
--- a/config/limits.go
+++ b/config/limits.go
@@ -36,3 +36,6 @@
 
 // ReservedPrefix is the path under which nodes answer themselves.
 const ReservedPrefix = "/.well-known/filbertpier"
+
+// MaxRankOrder is after the order of every declared rank.
+const MaxRankOrder = 1 << 20
--- /dev/null
+++ b/internal/httpconn/request.go
@@ -0,0 +1,63 @@
+package httpconn
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// Request is a request in the form in which it is sent.
+type Request struct {
+	Method string
+	// Target is the path with the query, as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	// ID is compared with the echo header of the answer.
+	ID string
+	// Body is the whole body, or its beginning if Rest is set.
+	Body []byte
+	// Rest is the remainder of a body that is too large to hold.
+	Rest io.Reader
+	// Length is the length of the whole body; -1 if unknown.
+	Length int64
+}
+
+// appendHead appends the request line and the headers.
+func (r *Request) appendHead(b []byte) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	for name, values := range r.Header {
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	switch {
+	case r.Length < 0:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	case r.Length > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, r.Length, 10)
+		b = append(b, "\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// whole reports whether the body is held in full.
+func (r *Request) whole() bool { return r.Rest == nil }
+
+// body returns a reader of the whole body.
+func (r *Request) body() io.Reader {
+	if r.whole() {
+		return bytes.NewReader(r.Body)
+	}
+	return io.MultiReader(bytes.NewReader(r.Body), r.Rest)
+}
--- /dev/null
+++ b/internal/mesh/applier.go
@@ -0,0 +1,55 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/filbertpier/filbertpier/internal/instance"
+	"github.com/filbertpier/filbertpier/internal/replica"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// Applier puts published items in force. Apply is called by one goroutine at a
+// time.
+type Applier struct {
+	decoder   Decoder
+	store     *snapshot.Store
+	directory *instance.Directory
+	log       hclog.Logger
+}
+
+// NewApplier returns an applier.
+func NewApplier(d Decoder, store *snapshot.Store, directory *instance.Directory, log hclog.Logger) *Applier {
+	return &Applier{decoder: d, store: store, directory: directory, log: log}
+}
+
+// Apply decodes an item and puts it in force. A version that cannot be read or
+// is not newer is refused as a whole.
+func (a *Applier) Apply(item replica.Item) {
+	now := time.Now()
+	change, err := a.decoder.Decode(now, item)
+	if err != nil {
+		a.log.Warn("published item refused", "key", item.Key, "revision", item.Revision, "error", err.Error())
+	}
+	switch {
+	case change.Snapshot != nil:
+		a.applyVersion(change.Snapshot, item.Revision)
+	case change.Instance != nil:
+		i := change.Instance
+		a.directory.Put(i)
+		a.log.Info("upstream listed", "instance", i.ID, "service", i.Service, "addr", i.Addr, "state", i.State.String(),
+			"slots", i.Slots, "zone", i.Zone, "revision", item.Revision)
+	case change.GoneID != "":
+		a.directory.Lapse(now, change.GoneID, item.Revision)
+		a.log.Info("upstream has no entry", "instance", change.GoneID, "revision", item.Revision)
+	}
+}
+
+func (a *Applier) applyVersion(next *snapshot.Snapshot, revision uint64) {
+	if err := a.store.Apply(next); err != nil {
+		a.log.Warn("version refused", "version", next.ID.Version, "revision", revision, "error", err.Error())
+		return
+	}
+	a.log.Info("version in force", "version", next.ID.Version, "revision", revision, "routes", len(next.Document.Routes()))
+}
--- /dev/null
+++ b/internal/mesh/change.go
@@ -0,0 +1,16 @@
+package mesh
+
+import (
+	"github.com/filbertpier/filbertpier/internal/instance"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// Change is what one published item says. At most one field is set.
+type Change struct {
+	// Snapshot is a new version.
+	Snapshot *snapshot.Snapshot
+	// Instance is an upstream's entry.
+	Instance *instance.Instance
+	// GoneID is the id of an upstream that has no entry any more.
+	GoneID string
+}
--- /dev/null
+++ b/internal/mesh/finish.go
@@ -0,0 +1,101 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
+)
+
+// finishEntry answers the caller.
+func (s *Server) finishEntry(w http.ResponseWriter, q *request, res *result, attempts int) {
+	outcome := outcomeOf(res)
+	rank := ""
+	if q.rank != nil {
+		rank = q.rank.Name
+	}
+	s.cfg.Metrics.Calls.WithLabelValues(rank, outcome, string(res.reason)).Inc()
+	s.cfg.Metrics.CallSeconds.WithLabelValues(rank, outcome).Observe(time.Since(q.arrived).Seconds())
+	s.logCall(q, res, outcome, attempts)
+	switch {
+	case res.kind == ResultAnswered && res.header != nil:
+		s.copyAnswer(w, res)
+	case res.kind == ResultAnswered:
+		writeStatus(w, res.status)
+	case res.kind == ResultNotRun:
+		w.Header()["Retry-After"] = []string{retryAfter(q, res)}
+		writeStatus(w, http.StatusServiceUnavailable)
+	case res.reason == ReasonDeadline:
+		writeStatus(w, http.StatusGatewayTimeout)
+	default:
+		writeStatus(w, http.StatusBadGateway)
+	}
+}
+
+func outcomeOf(res *result) string {
+	switch {
+	case res.kind != ResultAnswered:
+		return res.kind.String()
+	case res.header == nil:
+		return "rejected"
+	case res.status >= http.StatusInternalServerError:
+		return "failed-by-upstream"
+	}
+	return "answered"
+}
+
+// copyAnswer passes an upstream's answer on. An answer that ends early ends
+// the caller's connection, so that it is never taken for a whole one.
+func (s *Server) copyAnswer(w http.ResponseWriter, res *result) {
+	h := w.Header()
+	relay.CopyHeader(h, res.header)
+	if res.length >= 0 {
+		h["Content-Length"] = []string{strconv.FormatInt(res.length, 10)}
+	}
+	noDefaults(h)
+	w.WriteHeader(res.status)
+	if _, err := w.Write(res.body); err != nil || res.rest == nil {
+		return
+	}
+	if _, err := io.Copy(w, res.rest); err != nil {
+		s.cfg.Log.Warn("answer ended early", "error", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// noDefaults keeps net/http from adding headers that the upstream did not send.
+func noDefaults(h http.Header) {
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := h[name]; !ok {
+			h[name] = nil
+		}
+	}
+}
+
+func writeStatus(w http.ResponseWriter, status int) {
+	h := w.Header()
+	noDefaults(h)
+	h["Content-Length"] = []string{"0"}
+	w.WriteHeader(status)
+}
+
+// retryAfter tells a refused caller when the upstreams are expected to have
+// room, spread over half of that time more, so that the callers that were
+// refused together do not return together.
+func retryAfter(q *request, res *result) string {
+	wait := min(max(res.wait, minRetryAfter), maxRetryAfter)
+	wait += rand.N(wait/2 + 1)
+	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+}
+
+// ended tells why a context ended.
+func ended(ctx context.Context) Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return ReasonDeadline
+	}
+	return ReasonCallerLeft
+}
--- /dev/null
+++ b/internal/mesh/inbound.go
@@ -0,0 +1,71 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
+)
+
+// Inbound returns the handler for the other nodes.
+func (s *Server) Inbound() http.Handler { return http.HandlerFunc(s.serveInbound) }
+
+func (s *Server) serveInbound(w http.ResponseWriter, r *http.Request) {
+	q, refused := s.readInbound(r)
+	if refused != nil {
+		s.finishInbound(w, refused)
+		return
+	}
+	if at, err := strconv.ParseUint(r.Header.Get(headerAt), 10, 64); err == nil {
+		if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+			s.cfg.PeerAt(host, at)
+		}
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	res := s.runLocal(ctx, q, r.Header.Get(call.HeaderTarget))
+	defer res.close()
+	s.logInbound(q, res)
+	s.finishInbound(w, res)
+}
+
+// readInbound decodes a call that another node has matched and placed.
+func (s *Server) readInbound(r *http.Request) (*request, *result) {
+	q := &request{
+		id: r.Header.Get(s.cfg.Names.AttemptID), method: r.Method, target: r.URL.RequestURI(), host: r.Host,
+		arrived: time.Now(), length: r.ContentLength, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	q.route = &config.Route{Idempotent: r.Header.Get(headerIdempotent) != ""}
+	q.rank = s.rank(r.Header.Get(call.HeaderRank))
+	q.deadline = q.arrived.Add(s.timeLeft(r, config.MaxTimeoutMs))
+	q.header = make(http.Header, len(r.Header)+2)
+	relay.CopyHeader(q.header, r.Header)
+	return q, q.readBody(r)
+}
+
+// rank returns a rank of the version in force. A sender with another version
+// may name one that this node does not know; its calls go last.
+func (s *Server) rank(name string) *config.Rank {
+	if snap := s.cfg.Store.Current(); snap != nil {
+		if r, ok := snap.Document.Rank(name); ok {
+			return r
+		}
+	}
+	return &config.Rank{Name: name, Order: config.MaxRankOrder}
+}
+
+func (s *Server) finishInbound(w http.ResponseWriter, res *result) {
+	if res.kind == ResultAnswered {
+		s.setResult(res.header, res)
+		s.copyAnswer(w, res)
+		return
+	}
+	s.setResult(w.Header(), res)
+	writeStatus(w, http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/internal/mesh/log.go
@@ -0,0 +1,46 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/placement"
+)
+
+// logCall writes the line that ends a call at its entry.
+func (s *Server) logCall(q *request, res *result, outcome string, attempts int) {
+	if !s.cfg.Log.IsInfo() {
+		return
+	}
+	fields := []any{"id", q.id, "outcome", outcome, "status", res.status, "attempts", attempts, "ms", time.Since(q.arrived).Milliseconds()}
+	if q.route != nil {
+		fields = append(fields, "route", q.route.Name, "rank", q.rank.Name, "service", q.service.Name, "allowed_ms", q.deadline.Sub(q.arrived).Milliseconds())
+	}
+	if res.reason != ReasonNone {
+		fields = append(fields, "reason", string(res.reason), "detail", res.detail)
+	}
+	if snap := s.cfg.Store.Current(); snap != nil {
+		fields = append(fields, "version", snap.ID.Version)
+	}
+	fields = append(fields, "revision", s.cfg.Revision())
+	s.cfg.Log.Info("call", fields...)
+}
+
+// logAttempt writes the line of one placement decision.
+func (s *Server) logAttempt(q *request, choice placement.Choice, res *result, total time.Duration) {
+	if !s.cfg.Log.IsInfo() || res.kind == ResultAnswered && !q.retrying && !s.cfg.Log.IsDebug() {
+		return
+	}
+	s.cfg.Log.Info("attempt", "id", q.id, "service", choice.Instance.Service, "instance", choice.Instance.ID,
+		"zone", choice.Instance.Zone, "state", choice.Instance.State.String(), "candidates", choice.Candidates,
+		"last_resort", choice.LastResort, "expected_ms", choice.Expected.Milliseconds(), "ms", total.Milliseconds(),
+		"result", res.kind.String(), "reason", string(res.reason), "detail", res.detail, "wait_ms", res.wait.Milliseconds())
+}
+
+// logInbound writes the line of an admission that did not end in an answer.
+func (s *Server) logInbound(q *request, res *result) {
+	if !s.cfg.Log.IsInfo() || res.kind == ResultAnswered && !s.cfg.Log.IsDebug() {
+		return
+	}
+	s.cfg.Log.Info("admission", "id", q.id, "rank", q.rank.Name, "result", res.kind.String(), "reason", string(res.reason),
+		"detail", res.detail, "left_ms", time.Until(q.deadline).Milliseconds(), "running", res.load.Running, "waiting", res.load.Waiting)
+}
--- /dev/null
+++ b/internal/mesh/metrics.go
@@ -0,0 +1,36 @@
+package mesh
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics are the counters and histograms of the data plane.
+type Metrics struct {
+	// Calls counts calls of callers by route class, outcome and reason.
+	Calls *prometheus.CounterVec
+	// CallSeconds is the time from a call's arrival to its answer.
+	CallSeconds *prometheus.HistogramVec
+	// Attempts counts attempts by scope, result and reason.
+	Attempts *prometheus.CounterVec
+	// Admissions counts what the node beside the upstream decided.
+	Admissions *prometheus.CounterVec
+	// Retries counts further attempts by reason.
+	Retries *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics of the data plane.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		Calls:       counters("mesh_calls_total", "Calls of callers on the VM.", "rank", "outcome", "reason"),
+		CallSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "mesh_call_seconds", Help: "Time from a call's arrival to its answer.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 13)}, []string{"rank", "outcome"}),
+		Attempts:    counters("mesh_attempts_total", "Attempts at upstreams.", "service", "result", "reason"),
+		Admissions:  counters("mesh_admissions_total", "Decisions of the node beside the upstream.", "result", "reason"),
+		Retries:     counters("mesh_retries_total", "Further attempts.", "service", "reason"),
+	}
+	r.MustRegister(m.Calls, m.CallSeconds, m.Attempts, m.Admissions, m.Retries)
+	return m
+}
+
+const namespace = "filbertpier"
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
--- /dev/null
+++ b/internal/mesh/read.go
@@ -0,0 +1,94 @@
+package mesh
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
+)
+
+// read decodes a caller's request and matches its route. The result is not nil
+// if the call is refused; the request holds what is known then.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) (*request, *result) {
+	names := s.cfg.Names
+	q := &request{
+		id: r.Header.Get(names.AttemptID), method: r.Method, target: r.URL.RequestURI(), host: r.Host,
+		arrived: time.Now(), length: r.ContentLength, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	snap := s.cfg.Store.Current()
+	if snap == nil {
+		res := notRun(ReasonNoVersion, "")
+		res.wait = startupRetry
+		return q, res
+	}
+	route, ok := snap.Document.Match(hostOf(r.Host), r.Method, r.URL.Path)
+	if !ok {
+		return q, &result{kind: ResultAnswered, reason: ReasonNoRoute, status: http.StatusNotFound}
+	}
+	q.route = route
+	q.rank, _ = snap.Document.Rank(route.Rank)
+	q.service, _ = snap.Document.Service(s.splits.choose(route))
+	q.deadline = q.arrived.Add(s.timeLeft(r, route.TimeoutMs))
+	if limit := snap.Document.CallerLimits().MaxBodyBytes; limit > 0 && r.ContentLength > limit {
+		return q, &result{kind: ResultAnswered, reason: ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge}
+	}
+	q.header = make(http.Header, len(r.Header)+2)
+	relay.CopyHeader(q.header, r.Header)
+	deleteInternal(q.header)
+	q.header[names.Caller] = []string{s.cfg.Service}
+	return q, q.readBody(r)
+}
+
+// timeLeft returns how long the call may take: as long as its caller waits, at
+// most its route's timeout.
+func (s *Server) timeLeft(r *http.Request, timeoutMs int64) time.Duration {
+	if ms, err := strconv.ParseInt(r.Header.Get(s.cfg.Names.TimeLeft), 10, 64); err == nil && ms >= 0 {
+		timeoutMs = min(timeoutMs, ms)
+	}
+	return time.Duration(timeoutMs) * time.Millisecond
+}
+
+// readBody holds the body if it is not too large.
+func (q *request) readBody(r *http.Request) *result {
+	q.header.Del("Content-Length")
+	if r.ContentLength == 0 || r.Body == nil {
+		return nil
+	}
+	held, err := io.ReadAll(io.LimitReader(r.Body, holdBytes+1))
+	if err != nil {
+		return notRun(ReasonBodyUnreadable, err.Error())
+	}
+	q.body = held
+	if len(held) > holdBytes {
+		q.rest = r.Body
+		return nil
+	}
+	q.length = int64(len(held))
+	return nil
+}
+
+// deleteInternal drops the headers that only nodes may set.
+func deleteInternal(h http.Header) {
+	for name := range h {
+		if len(name) > len(call.HeaderPrefix) && name[:len(call.HeaderPrefix)] == call.HeaderPrefix {
+			delete(h, name)
+		}
+	}
+}
+
+// hostOf drops the port of a Host header.
+func hostOf(host string) string {
+	for i := len(host) - 1; i >= 0; i-- {
+		switch host[i] {
+		case ':':
+			return host[:i]
+		case ']':
+			return host
+		}
+	}
+	return host
+}
--- /dev/null
+++ b/internal/mesh/request.go
@@ -0,0 +1,45 @@
+package mesh
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/httpconn"
+)
+
+// request is one call at a node.
+type request struct {
+	id     string
+	method string
+	target string
+	host   string
+	header http.Header
+	body   []byte
+	// rest is the remainder of a body that is too large to hold; such a call
+	// is sent once only.
+	rest   io.Reader
+	length int64
+
+	arrived  time.Time
+	deadline time.Time
+	route    *config.Route
+	rank     *config.Rank
+	service  *config.Service
+	// retrying is set on every attempt after the first.
+	retrying bool
+	rng      *rand.Rand
+}
+
+// outgoing returns the request as it is sent on, with a header of its own.
+func (q *request) outgoing() *httpconn.Request {
+	return &httpconn.Request{
+		Method: q.method, Target: q.target, Host: q.host, Header: q.header.Clone(),
+		ID: q.id, Body: q.body, Rest: q.rest, Length: q.length,
+	}
+}
+
+// idempotent reports whether the call may run more than once.
+func (q *request) idempotent() bool { return q.route != nil && q.route.Idempotent }
--- /dev/null
+++ b/internal/mesh/result.go
@@ -0,0 +1,52 @@
+package mesh
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/placement"
+)
+
+// result is how one attempt ended.
+type result struct {
+	kind   ResultKind
+	reason Reason
+	// detail is the text of the underlying error, for logs.
+	detail string
+
+	// status, header, body and rest are the answer. rest is what follows body
+	// if the answer is too large to hold; length is that of the whole body, or
+	// -1.
+	status int
+	header http.Header
+	body   []byte
+	rest   io.ReadCloser
+	length int64
+
+	// wait is how long a refusing node expects to be busy.
+	wait time.Duration
+	// reached is set if a call that was not run reached the upstream.
+	reached bool
+	load    *placement.Load
+	// ran is how long the call ran; stayed is the time from its arrival at the
+	// node beside the upstream to the end of the answer.
+	ran, stayed time.Duration
+	// at is the platform's revision that the other node knows.
+	at uint64
+}
+
+func notRun(reason Reason, detail string) *result {
+	return &result{kind: ResultNotRun, reason: reason, detail: detail}
+}
+
+func broken(reason Reason, detail string) *result {
+	return &result{kind: ResultBroken, reason: reason, detail: detail}
+}
+
+// close ends what is left of the answer.
+func (r *result) close() {
+	if r.rest != nil {
+		_ = r.rest.Close()
+	}
+}
--- /dev/null
+++ b/internal/mesh/server.go
@@ -0,0 +1,83 @@
+package mesh
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/admission"
+	"github.com/filbertpier/filbertpier/internal/httpconn"
+	"github.com/filbertpier/filbertpier/internal/placement"
+	"github.com/filbertpier/filbertpier/internal/retry"
+)
+
+// Server serves the callers on the VM and the other nodes. It is safe for
+// concurrent use.
+type Server struct {
+	cfg      Config
+	chooser  *placement.Chooser
+	budgets  *retry.Budgets
+	limiter  *admission.Limiter
+	upstream *httpconn.Pool
+	peers    *httpconn.Pool
+	splits   *splits
+	stopping atomic.Bool
+	// downUntil is when an upstream that refused a connection is tried again,
+	// in Unix nanoseconds.
+	downUntil atomic.Int64
+}
+
+// NewServer returns a server.
+func NewServer(cfg Config) *Server {
+	return &Server{
+		cfg:     cfg,
+		chooser: placement.NewChooser(),
+		budgets: retry.NewBudgetsWith(retry.Options{OutermostReserve: retryReserve, NestedReserve: retryReserve}),
+		limiter: admission.NewLimiter(1),
+		splits:  newSplits(),
+		upstream: httpconn.NewPool(httpconn.Options{
+			IdleTimeout: upstreamIdle, MaxIdle: 64, DialTimeout: dialTimeout, SilenceTimeout: silence,
+			EchoHeader: cfg.Names.AttemptID, LocalIP: cfg.LocalIP,
+		}),
+		peers: httpconn.NewPool(httpconn.Options{
+			IdleTimeout: peerIdle, MaxIdle: 32, DialTimeout: dialTimeout, SilenceTimeout: silence, LocalIP: cfg.LocalIP,
+		}),
+	}
+}
+
+// retryReserve is the number of retries that a node may make before calls have
+// earned any. All nodes of a fleet have it, so it is small.
+const retryReserve = 1.0
+
+// Run drops old observations and idle connections until the context ends.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.upstream.Close()
+			s.peers.Close()
+			return
+		case now := <-ticker.C:
+			s.upstream.CloseIdle()
+			s.peers.CloseIdle()
+			s.chooser.Expire(now.Add(-beliefMemory))
+			s.cfg.Directory.Expire(now)
+		}
+	}
+}
+
+// Ready reports whether the node can serve callers.
+func (s *Server) Ready() bool {
+	return !s.stopping.Load() && s.cfg.Store.Current() != nil
+}
+
+// Stop makes the node unready. Calls are served as before.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Drain refuses calls of other nodes from now on.
+func (s *Server) Drain() { s.limiter.Drain() }
+
+// Load returns the running and waiting calls at the upstream.
+func (s *Server) Load() (running, waiting int) { return s.limiter.Load() }
--- /dev/null
+++ b/internal/placement/belief.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rankClasses bounds the ranks that are told apart; later ones share the
+	// last class.
+	rankClasses = 8
+	// ranWeight is the weight of a new service time; about the last ten count.
+	ranWeight = 0.1
+	// loadWeight is the weight of a new report in the average load.
+	loadWeight = 0.2
+	// loadMemory is how long a report says more than the average.
+	loadMemory = 100 * time.Millisecond
+	// loadHalfLife ages the average load while no reports come.
+	loadHalfLife = time.Second
+	// failWeight is the weight of an outcome in the share of failures.
+	failWeight = 0.15
+	// failHalfLife ages the share of failures, so that a recovered instance is
+	// tried again.
+	failHalfLife = 1500 * time.Millisecond
+	// failCost is the time that a failed attempt costs a call.
+	failCost = 400 * time.Millisecond
+	// outFirst and outMax bound the doubling time out after failures in a row.
+	outFirst = 100 * time.Millisecond
+	outMax   = 2 * time.Second
+	// minBusy and maxBusy bound how long a refusal keeps calls away.
+	minBusy = 10 * time.Millisecond
+	maxBusy = 300 * time.Millisecond
+	// maxUse bounds the utilization in the queueing formula.
+	maxUse = 0.97
+)
+
+// belief is what this node knows of one instance. It is guarded by the lock of
+// its shard.
+type belief struct {
+	ran         [rankClasses]average
+	outstanding int
+	load        Load
+	loadAt      time.Time
+	meanLoad    float64
+	failShare   float64
+	failAt      time.Time
+	inARow      int
+	outUntil    time.Time
+	busyUntil   [rankClasses]time.Time
+	touched     time.Time
+}
+
+func rankClass(order int) int { return min(max(order, 0), rankClasses-1) }
+
+// finish records the end of an attempt.
+func (b *belief) finish(now time.Time, o Outcome) {
+	b.outstanding = max(b.outstanding-1, 0)
+	b.touched = now
+	if o.Load != nil {
+		b.observeLoad(now, *o.Load)
+	}
+	switch o.Kind {
+	case Answered:
+		b.observeFailure(now, 0)
+		b.inARow = 0
+		if o.Ran > 0 {
+			b.ran[rankClass(o.Order)].observe(o.Ran, ranWeight)
+		}
+	case FailedAnswer, Shed:
+		b.observeFailure(now, 1)
+	case Refused:
+		until := now.Add(min(max(o.Wait, minBusy), maxBusy))
+		for c := rankClass(o.Order); c < rankClasses; c++ {
+			b.busyUntil[c] = until
+		}
+	case Unreachable, Broken:
+		b.observeFailure(now, 1)
+		b.inARow++
+		b.outUntil = now.Add(min(outFirst<<min(b.inARow-1, 8), outMax))
+	case Canceled:
+	}
+}
+
+func (b *belief) observeLoad(now time.Time, l Load) {
+	sum := float64(l.Running + l.Waiting)
+	if b.loadAt.IsZero() {
+		b.meanLoad = sum
+	} else {
+		b.meanLoad += loadWeight * (sum - b.meanLoad)
+	}
+	b.load, b.loadAt = l, now
+}
+
+func (b *belief) observeFailure(now time.Time, v float64) {
+	b.failShare = b.failures(now)
+	b.failShare += failWeight * (v - b.failShare)
+	b.failAt = now
+}
+
+// failures returns the share of failures, aged.
+func (b *belief) failures(now time.Time) float64 {
+	return b.failShare * fade(now.Sub(b.failAt), failHalfLife)
+}
+
+// expected returns the time in seconds from the arrival of a call at the
+// instance's node to its answer.
+func (b *belief) expected(now time.Time, order, slots int, service float64) float64 {
+	if a := &b.ran[rankClass(order)]; a.set {
+		service = a.mean
+	}
+	wait := b.wait(now, max(slots, 1), service)
+	fail := min(b.failures(now), 0.9)
+	return service + wait + fail/(1-fail)*failCost.Seconds()
+}
+
+// wait returns the time that a call is expected to queue: what the last report
+// implies while it is fresh, else what a queue at the average load implies
+// (Sakasegawa's approximation for several servers).
+func (b *belief) wait(now time.Time, slots int, service float64) float64 {
+	age := now.Sub(b.loadAt)
+	mean := b.meanLoad * fade(age, loadHalfLife)
+	sum := float64(b.load.Running + b.load.Waiting)
+	current := mean + (sum-mean)*math.Exp(-age.Seconds()/loadMemory.Seconds())
+	current = max(current, float64(b.outstanding))
+	queued := max(0, current+1-float64(slots)) * service / float64(slots)
+	use := min(max(mean, float64(b.outstanding))/float64(slots), maxUse)
+	steady := math.Pow(use, math.Sqrt(2*float64(slots+1))-1) / (1 - use) * service / float64(slots)
+	return max(queued, steady)
+}
+
+// fade returns what remains of an observation at an age.
+func fade(age, halfLife time.Duration) float64 {
+	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
+}
--- /dev/null
+++ b/internal/placement/chooser.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/filbertpier/filbertpier/internal/instance"
+)
+
+const (
+	beliefShards = 32
+	// unknownService is the service time assumed until one was observed.
+	unknownService = 50 * time.Millisecond
+	// coldFactor multiplies the service time of an instance that has just
+	// started and has not been observed yet.
+	coldFactor = 2.0
+	// spread randomizes expectations, so that senders with the same knowledge
+	// do not all choose the same instance.
+	spread = 0.15
+)
+
+// Chooser places calls. It is safe for concurrent use.
+type Chooser struct {
+	shards    [beliefShards]shard
+	distances *distances
+	// typical holds the service time of each rank over all instances.
+	typical typicalTimes
+}
+
+// NewChooser returns a chooser that has observed nothing.
+func NewChooser() *Chooser {
+	c := &Chooser{distances: newDistances()}
+	for i := range c.shards {
+		c.shards[i].byID = map[string]*belief{}
+	}
+	return c
+}
+
+func (c *Chooser) shard(id string) *shard { return &c.shards[xxhash.Sum64String(id)%beliefShards] }
+
+// Choose returns the candidate with the least expected time to an answer. It
+// returns false if no candidate may get the call. For each choice the caller
+// calls Start before it sends the call and Finish when it ends.
+func (c *Chooser) Choose(now time.Time, q Query) (Choice, bool) {
+	var best, resort Choice
+	var bestCost, resortCost float64
+	usable := 0
+	for _, i := range q.Candidates {
+		if !i.Serves(now) || q.excluded(i.ID) {
+			continue
+		}
+		cost, open := c.assess(now, &q, i)
+		if !open {
+			if resort.Instance == nil || cost < resortCost {
+				resort, resortCost = c.choice(i, cost), cost
+			}
+			continue
+		}
+		usable++
+		if best.Instance == nil || cost < bestCost {
+			best, bestCost = c.choice(i, cost), cost
+		}
+	}
+	if best.Instance == nil {
+		resort.LastResort = true
+		return resort, resort.Instance != nil
+	}
+	best.Candidates = usable
+	return best, true
+}
+
+func (c *Chooser) choice(i *instance.Instance, cost float64) Choice {
+	return Choice{Instance: i, Expected: time.Duration(cost * float64(time.Second))}
+}
+
+// assess returns the expected time in seconds and whether the instance is in
+// service for calls of the rank.
+func (c *Chooser) assess(now time.Time, q *Query, i *instance.Instance) (cost float64, open bool) {
+	service := c.typical.get(i.Service, q.Order)
+	if now.Before(i.ColdUntil) {
+		service *= coldFactor
+	}
+	var busy time.Duration
+	c.shard(i.ID).with(i.ID, func(b *belief) {
+		cost = b.expected(now, q.Order, i.Slots, service)
+		open = !now.Before(b.outUntil)
+		busy = b.busyUntil[rankClass(q.Order)].Sub(now)
+	})
+	if busy > 0 {
+		open = false
+		cost += busy.Seconds()
+	}
+	if i.State == instance.Lapsed {
+		cost *= coldFactor
+	}
+	cost += c.distances.to(q, i.Zone, i.Region)
+	return cost * (1 + spread*q.Rand.Float64()), open
+}
+
+// Start records that a call is sent to an instance.
+func (c *Chooser) Start(now time.Time, i *instance.Instance) {
+	c.shard(i.ID).with(i.ID, func(b *belief) {
+		b.outstanding++
+		b.touched = now
+	})
+}
+
+// Finish records how a started call ended.
+func (c *Chooser) Finish(now time.Time, i *instance.Instance, o Outcome) {
+	c.shard(i.ID).with(i.ID, func(b *belief) { b.finish(now, o) })
+	if o.Kind != Answered || o.Ran <= 0 {
+		return
+	}
+	c.typical.observe(i.Service, o.Order, o.Ran)
+}
+
+// ObserveDistance records the time to a zone and back without the time spent
+// there.
+func (c *Chooser) ObserveDistance(zone string, d time.Duration) {
+	c.distances.shard(zone).observe(zone, max(d, 0))
+}
+
+// Typical returns the service time of a rank at a service.
+func (c *Chooser) Typical(service string, order int) time.Duration {
+	return time.Duration(c.typical.get(service, order) * float64(time.Second))
+}
+
+// Expire forgets instances that were not used since a time.
+func (c *Chooser) Expire(before time.Time) {
+	for i := range c.shards {
+		c.shards[i].expire(before)
+	}
+}
--- /dev/null
+++ b/internal/placement/kind.go
@@ -0,0 +1,22 @@
+package placement
+
+// Kind classifies the end of an attempt.
+type Kind uint8
+
+// The kinds.
+const (
+	// Answered: the instance gave a complete answer.
+	Answered Kind = iota
+	// FailedAnswer: the instance answered with a failure of its own.
+	FailedAnswer
+	// Refused: the instance's node has no room for the call.
+	Refused
+	// Shed: the instance itself refused the call.
+	Shed
+	// Unreachable: the instance or its node could not be reached, or leaves.
+	Unreachable
+	// Broken: the connection ended without a complete answer.
+	Broken
+	// Canceled: the caller left. It says nothing about the instance.
+	Canceled
+)
--- /dev/null
+++ b/internal/placement/query.go
@@ -0,0 +1,29 @@
+package placement
+
+import (
+	"math/rand/v2"
+
+	"github.com/filbertpier/filbertpier/internal/instance"
+)
+
+// Query asks for the instance of one attempt of a call.
+type Query struct {
+	Candidates []*instance.Instance
+	// Zone and Region are those of the asking node.
+	Zone, Region string
+	// Order is the order of the call's rank.
+	Order int
+	// Exclude holds the ids of instances that the call has tried.
+	Exclude []string
+	// Rand is used by this call only.
+	Rand *rand.Rand
+}
+
+func (q *Query) excluded(id string) bool {
+	for _, e := range q.Exclude {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/replica/peers/fetch_params.go
@@ -0,0 +1,10 @@
+package peers
+
+// fetchMethod asks for the changes after a revision; the answer is a
+// replica.Page.
+const fetchMethod = "replica.fetch"
+
+// fetchParams are the parameters of fetchMethod.
+type fetchParams struct {
+	After uint64 `json:"after"`
+}
--- /dev/null
+++ b/internal/replica/reader.go
@@ -0,0 +1,186 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+// Reader keeps a table up to date from the platform, and from peers while the
+// platform does not answer this node. Its methods are safe for concurrent use.
+type Reader struct {
+	cfg   Config
+	table *Table
+	// connected is set while the last read succeeded.
+	connected atomic.Bool
+	// listed is set once the platform's items were listed as a whole.
+	listed atomic.Bool
+	// hint wakes the peer loop: a peer is known to have a newer revision.
+	hint   chan string
+	lostAt atomic.Int64
+}
+
+// NewReader returns a reader for a table. Run starts it.
+func NewReader(cfg Config, table *Table) *Reader {
+	r := &Reader{cfg: cfg, table: table, hint: make(chan string, 1)}
+	r.lostAt.Store(time.Now().UnixNano())
+	return r
+}
+
+// Connected reports whether the platform answers this node.
+func (r *Reader) Connected() bool { return r.connected.Load() }
+
+// Run reads until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.readPeers(ctx)
+	}()
+	r.readSource(ctx)
+	<-done
+}
+
+// PeerAt tells the reader that a peer has a revision. A newer one than the
+// table's is fetched from that peer.
+func (r *Reader) PeerAt(addr string, at uint64) {
+	if at <= r.table.At() {
+		return
+	}
+	select {
+	case r.hint <- addr:
+	default:
+	}
+}
+
+func (r *Reader) readSource(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		err := r.readOnce(ctx)
+		if err == nil {
+			backoff = minBackoff
+			continue
+		}
+		var compacted *CompactedError
+		if errors.As(err, &compacted) {
+			r.cfg.Observer.Relisting(compacted.After)
+			r.listed.Store(false)
+			continue
+		}
+		r.lost(err)
+		if !sleep(ctx, backoff/2+rand.N(backoff)) {
+			return
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (r *Reader) readOnce(ctx context.Context) error {
+	if !r.listed.Load() {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		page, err := r.cfg.Source.List(ctx)
+		if err != nil {
+			return err
+		}
+		r.listed.Store(true)
+		r.regained()
+		r.table.Replace(page)
+		return nil
+	}
+	wait := r.watchWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	page, err := r.cfg.Source.Watch(ctx, r.table.At(), wait)
+	if err != nil {
+		return err
+	}
+	r.regained()
+	r.table.Merge(page)
+	return nil
+}
+
+// watchWait is longer in large fleets, so that all watches together stay
+// within a share of the platform's read rate.
+func (r *Reader) watchWait() time.Duration {
+	if r.cfg.ReadsPerSecond <= 0 {
+		return minWatch
+	}
+	wait := time.Duration(float64(r.cfg.FleetSize()) / (watchShare * r.cfg.ReadsPerSecond) * float64(time.Second))
+	return min(max(wait, minWatch), maxWatch)
+}
+
+func (r *Reader) lost(err error) {
+	if r.connected.Swap(false) || r.lostAt.Load() == 0 {
+		r.lostAt.Store(time.Now().UnixNano())
+	}
+	r.cfg.Observer.ReadFailed(err)
+}
+
+func (r *Reader) regained() {
+	if !r.connected.Swap(true) {
+		r.cfg.Observer.Regained(time.Since(time.Unix(0, r.lostAt.Load())))
+	}
+}
+
+// readPeers asks peers while the platform does not answer, and a peer that is
+// known to be ahead at once.
+func (r *Reader) readPeers(ctx context.Context) {
+	if !sleep(ctx, startupGrace) {
+		return
+	}
+	timer := time.NewTimer(peerInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case addr := <-r.hint:
+			r.fetch(ctx, addr)
+		case <-timer.C:
+			if !r.Connected() {
+				r.askOne(ctx)
+			}
+			timer.Reset(peerInterval/2 + rand.N(peerInterval))
+		}
+	}
+}
+
+// askOne asks candidates until one answers.
+func (r *Reader) askOne(ctx context.Context) {
+	for _, addr := range r.cfg.Peers.Candidates(time.Now()) {
+		if ctx.Err() != nil || r.fetch(ctx, addr) {
+			return
+		}
+	}
+}
+
+func (r *Reader) fetch(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	page, err := r.cfg.Peers.Fetch(ctx, addr, r.table.At())
+	if err != nil {
+		r.cfg.Observer.PeerFailed(addr, err)
+		return false
+	}
+	if page.At <= r.table.At() {
+		return page.At > 0
+	}
+	news := r.table.Merge(page)
+	r.cfg.Observer.FromPeer(addr, page.At, news)
+	return true
+}
+
+// sleep reports whether the context is still valid after a pause.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,10 +13,12 @@
 type budget struct {
 	tokens [call.MaxDepth + 1]float64
 	at     [call.MaxDepth + 1]time.Time
+	// options is read-only.
+	options Options
 }
 
 const (
-	// outermostReserve is what an outermost call's service starts with and
+	// outermostReserve is the default of what an outermost call's service starts with and
 	// keeps when it is rarely used: a burst of calls that lose one upstream is
 	// retried although few calls have earned tokens. Spent tokens come back
 	// with calls only, and an outermost call is at one level only.
@@ -32,9 +34,9 @@
 
 func (b *budget) account(now time.Time, depth int) *float64 {
 	depth = min(max(depth, 0), call.MaxDepth)
-	reserve := nestedReserve
+	reserve := b.options.NestedReserve
 	if depth == 0 {
-		reserve = outermostReserve
+		reserve = b.options.OutermostReserve
 	}
 	t := &b.tokens[depth]
 	if b.at[depth].IsZero() {
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -19,10 +19,16 @@
 	shards [budgetShards]budgetShard
 }
 
-// NewBudgets returns budgets without recent calls.
+// NewBudgets returns budgets without recent calls and with the default reserves.
 func NewBudgets() *Budgets {
+	return NewBudgetsWith(Options{OutermostReserve: outermostReserve, NestedReserve: nestedReserve})
+}
+
+// NewBudgetsWith returns budgets without recent calls.
+func NewBudgetsWith(o Options) *Budgets {
 	b := &Budgets{}
 	for i := range b.shards {
+		b.shards[i].options = o
 		b.shards[i].byService = map[string]*budget{}
 	}
 	return b
--- /dev/null
+++ b/internal/settings/mesh.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"errors"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// Mesh is the settings of a node whose callers sit on its own VM. It is
+// read-only after Check.
+type Mesh struct {
+	// VM is the id of the VM.
+	VM     string `json:"vm" validate:"required,max=256"`
+	Zone   string `json:"zone" validate:"required,max=128"`
+	Region string `json:"region" validate:"required,max=128"`
+	// Service is the service of the upstream on the VM.
+	Service string `json:"service" validate:"required,max=128"`
+	// Upstream is the address of the upstream on the VM.
+	Upstream string `json:"upstream" validate:"required,ip_port"`
+	// LocalIP is the address that the node connects from.
+	LocalIP string     `json:"localIP" validate:"required,ip"`
+	Listen  MeshListen `json:"listen"`
+	// Seeds are control addresses of other nodes; they may be out of date.
+	Seeds []string `json:"seeds" validate:"dive,ip_port"`
+	// Regions names the region of each zone.
+	Regions map[string]string `json:"regions"`
+	// Store is the address of the platform's store.
+	Store string `json:"store" validate:"required,ip_port"`
+	// StoreReadsPerSecond is what all nodes together may read.
+	StoreReadsPerSecond float64 `json:"storeReadsPerSecond" validate:"min=0"`
+	// RetryRatio bounds the retries of all nodes as a share of the calls to a
+	// service.
+	RetryRatio float64 `json:"retryRatio" validate:"min=0,max=1"`
+	// StopTime is how long a stopping node may take before it is killed.
+	StopTime time.Duration `json:"stopTime" validate:"min=1000000000"`
+	// MemoryBytes is the node's memory limit; zero if it has none.
+	MemoryBytes int64 `json:"memoryBytes" validate:"min=0"`
+}
+
+// Check returns an *InvalidError that lists all faults, or nil.
+func (m *Mesh) Check() error {
+	var invalid validator.ValidationErrors
+	if !errors.As(newValidator().Struct(m), &invalid) {
+		return nil
+	}
+	out := &InvalidError{}
+	for _, e := range invalid {
+		out.Faults = append(out.Faults, Fault{Field: pointerOf(e.Namespace()), Rule: RuleOther, Detail: "violates " + e.Tag() + " " + e.Param()})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sidecar/adapter.go
@@ -0,0 +1,15 @@
+package sidecar
+
+import (
+	"github.com/filbertpier/filbertpier/internal/mesh"
+	"github.com/filbertpier/filbertpier/internal/replica"
+)
+
+// Adapter is what a platform supplies.
+type Adapter struct {
+	Names   mesh.Names
+	Source  replica.Source
+	Decoder mesh.Decoder
+	// ReadyPath and MetricsPath are the paths of the node's own endpoints.
+	ReadyPath, MetricsPath string
+}
--- /dev/null
+++ b/internal/sidecar/node.go
@@ -0,0 +1,135 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/filbertpier/filbertpier/internal/instance"
+	"github.com/filbertpier/filbertpier/internal/mesh"
+	"github.com/filbertpier/filbertpier/internal/replica"
+	"github.com/filbertpier/filbertpier/internal/replica/peers"
+	"github.com/filbertpier/filbertpier/internal/settings"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// Node is a running mesh node. Its methods are safe for concurrent use.
+type Node struct {
+	settings *settings.Mesh
+	log      hclog.Logger
+	server   *mesh.Server
+	reader   *replica.Reader
+	control  *peers.Server
+	conns    *activity
+	servers  []*http.Server
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// Start starts a node. It returns a *ListenError or a *peers.ListenError.
+func Start(s *settings.Mesh, a Adapter, log hclog.Logger) (*Node, error) {
+	n := &Node{settings: s, log: log, conns: newActivity()}
+	registry := prometheus.NewRegistry()
+	store, directory := snapshot.NewStore(), instance.NewDirectory()
+	table := replica.NewTable(mesh.NewApplier(a.Decoder, store, directory, log.Named("feed")).Apply)
+	client := &peers.Client{
+		Directory: directory, Seeds: s.Seeds, Port: port(s.Listen.Control), Self: s.Listen.Control, Region: s.Region,
+	}
+	n.reader = replica.NewReader(replica.Config{
+		Source: a.Source, Peers: client, Observer: newObserver(log.Named("feed"), registry),
+		ReadsPerSecond: s.StoreReadsPerSecond, FleetSize: func() int { return len(directory.All()) },
+	}, table)
+	n.server = mesh.NewServer(mesh.Config{
+		Names: a.Names, VM: s.VM, Zone: s.Zone, Region: s.Region, Service: s.Service,
+		UpstreamAddr: s.Upstream, PeerPort: port(s.Listen.Nodes), LocalIP: s.LocalIP,
+		Store: store, Directory: directory, Revision: table.At,
+		PeerAt:     func(host string, at uint64) { n.reader.PeerAt(client.Addr(host), at) },
+		RetryRatio: s.RetryRatio, Log: log.Named("call"), Metrics: mesh.NewMetrics(registry),
+	})
+	if err := n.listen(a, table, registry); err != nil {
+		n.close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.run(ctx, n.reader.Run)
+	n.run(ctx, n.server.Run)
+	return n, nil
+}
+
+func (n *Node) run(ctx context.Context, f func(context.Context)) {
+	n.running.Add(1)
+	go func() {
+		defer n.running.Done()
+		f(ctx)
+	}()
+}
+
+func (n *Node) listen(a Adapter, table *replica.Table, registry *prometheus.Registry) error {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+a.ReadyPath, n.serveReady)
+	metrics := http.NewServeMux()
+	metrics.Handle("GET "+a.MetricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	var err error
+	if n.control, err = peers.Listen(n.settings.Listen.Control, table); err != nil {
+		return err
+	}
+	l := n.settings.Listen
+	if err := n.serve(l.Nodes, n.server.Inbound(), mesh.NodeIdle); err != nil {
+		return err
+	}
+	if err := n.serve(l.Callers, n.server.Entry(), mesh.CallerIdle); err != nil {
+		return err
+	}
+	if l.Metrics != "" {
+		if err := n.serve(l.Metrics, metrics, mesh.CallerIdle); err != nil {
+			return err
+		}
+	}
+	return n.serve(l.Ready, ready, mesh.CallerIdle)
+}
+
+func (n *Node) serve(addr string, h http.Handler, idle time.Duration) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return &ListenError{Addr: addr, Err: err}
+	}
+	s := &http.Server{
+		Handler: n.conns.count(h), IdleTimeout: idle, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mesh.MaxHeaderBytes,
+		ErrorLog: n.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	n.servers = append(n.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return nil
+}
+
+// headerTimeout bounds how long a client may take to send a header.
+const headerTimeout = 10 * time.Second
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.server.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) close() {
+	if n.control != nil {
+		n.control.Close()
+	}
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+}
+
+func port(addr string) string {
+	_, p, _ := net.SplitHostPort(addr)
+	return p
+}
