Stop refuses new calls; due times at the gate; bytes in placement; watches gather changes

(2) recall-lookup was served late in bursts: the gate judged mean service times from its own arrival.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -116,6 +116,9 @@
 
 func (g *Gate) checkPlace(now time.Time, table *rankTable, t *Ticket, urgent, same int, due time.Time) error {
 	service, wait := g.ledger.forecast(now, table, t.entry, urgent, same)
+	if !t.Due.IsZero() {
+		service += g.ledger.spread(now, t.entry)
+	}
 	if over := now.Add(wait + service).Sub(due); over > 0 {
 		return &LateError{Rank: t.Rank.Name, Wait: wait, Service: service, Over: over}
 	}
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -118,6 +118,13 @@
 	return service, time.Duration(byOrder)
 }
 
+// spread returns by how much the service time of a rank varies.
+func (l *ledger) spread(now time.Time, e *rankEntry) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return e.account.service.spread(now)
+}
+
 func (l *ledger) setLimits(limits Limits) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/admission/service_time.go
+++ b/internal/admission/service_time.go
@@ -39,7 +39,15 @@
 	if s.samples == 0 {
 		return 0
 	}
-	d := time.Duration(s.mean * float64(time.Second))
+	return s.aged(now, s.mean)
+}
+
+// spread returns the mean deviation from the estimate.
+func (s *serviceTime) spread(now time.Time) time.Duration { return s.aged(now, s.deviation) }
+
+// aged halves a value in seconds for each half-life since the last sample.
+func (s *serviceTime) aged(now time.Time, v float64) time.Duration {
+	d := time.Duration(v * float64(time.Second))
 	for age := now.Sub(s.sampledAt); age >= serviceTimeHalfLife && d > time.Microsecond; age -= serviceTimeHalfLife {
 		d /= 2
 	}
--- a/internal/mesh/applier.go
+++ b/internal/mesh/applier.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -51,5 +52,10 @@
 		a.log.Warn("version refused", "version", next.ID.Version, "revision", revision, "error", err.Error())
 		return
 	}
-	a.log.Info("version in force", "version", next.ID.Version, "revision", revision, "routes", len(next.Document.Routes()))
+	ranks := []string{}
+	for _, r := range next.Document.Ranks() {
+		ranks = append(ranks, r.Name)
+	}
+	a.log.Info("version in force", "version", next.ID.Version, "revision", revision, "routes", len(next.Document.Routes()),
+		"ranks", strings.Join(ranks, " "))
 }
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -39,7 +39,7 @@
 	for hop := 1; hop <= maxHops; hop++ {
 		choice, ok := s.chooser.Choose(time.Now(), placement.Query{
 			Candidates: s.cfg.Directory.Service(q.service.Selector), Zone: s.cfg.Zone, Region: s.cfg.Region,
-			Order: q.rank.Order, Exclude: tried, Rand: q.rng,
+			Order: q.rank.Order, Bytes: s.sizes.shard(q.route.Name).get(q.route.Name), Exclude: tried, Rand: q.rng,
 		})
 		if !ok {
 			if last == nil {
@@ -110,6 +110,9 @@
 	if !local && res.stayed > 0 {
 		s.chooser.ObserveDistance(to.Zone, total-res.stayed)
 	}
+	if res.kind == ResultAnswered {
+		s.sizes.shard(q.route.Name).observe(q.route.Name, len(q.body)+len(res.body))
+	}
 	s.cfg.Metrics.Attempts.WithLabelValues(to.Service, res.kind.String(), string(res.reason)).Inc()
 	s.logAttempt(q, choice, res, total)
 	return res
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -28,6 +28,8 @@
 	out.Header[call.HeaderTarget] = []string{to.ID}
 	out.Header[call.HeaderRank] = []string{q.rank.Name}
 	out.Header[headerAt] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
+	way := s.chooser.Distance(s.cfg.Zone, s.cfg.Region, to)
+	out.Header[headerDue] = []string{strconv.FormatInt((time.Until(q.due) - way).Milliseconds(), 10)}
 	if q.idempotent() {
 		out.Header[headerIdempotent] = []string{"1"}
 	}
--- a/internal/mesh/headers.go
+++ b/internal/mesh/headers.go
@@ -9,6 +9,8 @@
 	// headerWait holds how long a refusing node expects to be busy, in
 	// milliseconds.
 	headerWait = "Filbertpier-Wait"
+	// headerDue holds the milliseconds until the answer loses part of its worth.
+	headerDue = "Filbertpier-Due"
 	// headerTimes holds the microseconds that a call ran and those that it
 	// spent at the node in all.
 	headerTimes = "Filbertpier-Times"
--- a/internal/mesh/inbound.go
+++ b/internal/mesh/inbound.go
@@ -44,6 +44,9 @@
 	q.route = &config.Route{Idempotent: r.Header.Get(headerIdempotent) != ""}
 	q.rank = s.rank(r.Header.Get(call.HeaderRank))
 	q.deadline = q.arrived.Add(s.timeLeft(r, config.MaxTimeoutMs))
+	if ms, err := strconv.ParseInt(r.Header.Get(headerDue), 10, 64); err == nil {
+		q.due = q.arrived.Add(time.Duration(ms) * time.Millisecond)
+	}
 	q.header = make(http.Header, len(r.Header)+2)
 	relay.CopyHeader(q.header, r.Header)
 	return q, q.readBody(r)
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -33,7 +33,7 @@
 		return res
 	}
 	s.configure(self)
-	release, err := s.limiter.Acquire(ctx, &call.Call{Route: q.route, Rank: q.rank, Deadline: q.deadline})
+	release, err := s.limiter.Acquire(ctx, &call.Call{Route: q.route, Rank: q.rank, Deadline: q.deadline, Due: q.due})
 	if err != nil {
 		return s.refusal(err, q)
 	}
--- a/internal/mesh/read.go
+++ b/internal/mesh/read.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
 )
@@ -19,6 +20,12 @@
 		id: r.Header.Get(names.AttemptID), method: r.Method, target: r.URL.RequestURI(), host: r.Host,
 		arrived: time.Now(), length: r.ContentLength, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	if s.closing.Load() {
+		w.Header()["Connection"] = []string{"close"}
+		res := notRun(ReasonLeaving, "")
+		res.wait = minRetryAfter
+		return q, res
+	}
 	snap := s.cfg.Store.Current()
 	if snap == nil {
 		res := notRun(ReasonNoVersion, "")
@@ -33,6 +40,7 @@
 	q.rank, _ = snap.Document.Rank(route.Rank)
 	q.service, _ = snap.Document.Service(s.splits.choose(route))
 	q.deadline = q.arrived.Add(s.timeLeft(r, route.TimeoutMs))
+	q.due = q.arrived.Add(target(route, q.rank))
 	if limit := snap.Document.CallerLimits().MaxBodyBytes; limit > 0 && r.ContentLength > limit {
 		return q, &result{kind: ResultAnswered, reason: ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge}
 	}
@@ -52,6 +60,15 @@
 	return time.Duration(timeoutMs) * time.Millisecond
 }
 
+// target returns the latency that calls of a route should meet.
+func target(route *config.Route, rank *config.Rank) time.Duration {
+	ms := route.TargetMs
+	if ms <= 0 {
+		ms = rank.TargetMs
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // readBody holds the body if it is not too large.
 func (q *request) readBody(r *http.Request) *result {
 	q.header.Del("Content-Length")
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -25,9 +25,11 @@
 
 	arrived  time.Time
 	deadline time.Time
-	route    *config.Route
-	rank     *config.Rank
-	service  *config.Service
+	// due is when the answer loses part of its worth; zero if unknown.
+	due     time.Time
+	route   *config.Route
+	rank    *config.Rank
+	service *config.Service
 	// retrying is set on every attempt after the first.
 	retrying bool
 	rng      *rand.Rand
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -21,7 +21,9 @@
 	upstream *httpconn.Pool
 	peers    *httpconn.Pool
 	splits   *splits
-	stopping atomic.Bool
+	sizes    *sizes
+	// stopping is set once the node is unready, closing once it refuses calls.
+	stopping, closing atomic.Bool
 	// downUntil is when an upstream that refused a connection is tried again,
 	// in Unix nanoseconds.
 	downUntil atomic.Int64
@@ -35,6 +37,7 @@
 		budgets: retry.NewBudgetsWith(retry.Options{OutermostReserve: retryReserve, NestedReserve: retryReserve}),
 		limiter: admission.NewLimiter(1),
 		splits:  newSplits(),
+		sizes:   newSizes(),
 		upstream: httpconn.NewPool(httpconn.Options{
 			IdleTimeout: upstreamIdle, MaxIdle: 64, DialTimeout: dialTimeout, SilenceTimeout: silence,
 			EchoHeader: cfg.Names.AttemptID, LocalIP: cfg.LocalIP,
@@ -76,8 +79,12 @@
 // Stop makes the node unready. Calls are served as before.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
-// Drain refuses calls of other nodes from now on.
-func (s *Server) Drain() { s.limiter.Drain() }
+// Drain refuses all calls from now on and closes the connections on which they
+// come. Calls in flight finish.
+func (s *Server) Drain() {
+	s.closing.Store(true)
+	s.limiter.Drain()
+}
 
 // Load returns the running and waiting calls at the upstream.
 func (s *Server) Load() (running, waiting int) { return s.limiter.Load() }
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -18,6 +18,10 @@
 	// spread randomizes expectations, so that senders with the same knowledge
 	// do not all choose the same instance.
 	spread = 0.15
+	// zoneKiB and regionKiB are the delay that is accepted to keep a KiB within
+	// a zone or a region.
+	zoneKiB   = time.Millisecond
+	regionKiB = 4 * time.Millisecond
 )
 
 // Chooser places calls. It is safe for concurrent use.
@@ -94,10 +98,29 @@
 	if i.State == instance.Lapsed {
 		cost *= coldFactor
 	}
-	cost += c.distances.to(q, i.Zone, i.Region)
+	cost += c.distances.to(q.Zone, q.Region, i) + transfer(q, i)
 	return cost * (1 + spread*q.Rand.Float64()), open
 }
 
+// transfer returns what the bytes of a call between zones are worth in seconds:
+// links between zones and regions are narrow and charged by volume, so that a
+// large answer is served near unless that is slower by more than this.
+func transfer(q *Query, i *instance.Instance) float64 {
+	kib := float64(q.Bytes) / 1024
+	switch {
+	case i.Zone == q.Zone:
+		return 0
+	case i.Region == q.Region:
+		return kib * zoneKiB.Seconds()
+	}
+	return kib * regionKiB.Seconds()
+}
+
+// Distance returns the time to an instance's node and back.
+func (c *Chooser) Distance(zone, region string, to *instance.Instance) time.Duration {
+	return time.Duration(c.distances.to(zone, region, to) * float64(time.Second))
+}
+
 // Start records that a call is sent to an instance.
 func (c *Chooser) Start(now time.Time, i *instance.Instance) {
 	c.shard(i.ID).with(i.ID, func(b *belief) {
--- a/internal/placement/distances.go
+++ b/internal/placement/distances.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/filbertpier/filbertpier/internal/instance"
 )
 
 const (
@@ -34,15 +36,15 @@
 	return &d.shards[xxhash.Sum64String(zone)%distanceShards]
 }
 
-// to returns the distance in seconds.
-func (d *distances) to(q *Query, zone, region string) float64 {
-	if s, ok := d.shard(zone).get(zone); ok {
+// to returns the distance to an instance's node in seconds.
+func (d *distances) to(zone, region string, i *instance.Instance) float64 {
+	if s, ok := d.shard(i.Zone).get(i.Zone); ok {
 		return s
 	}
 	switch {
-	case zone == q.Zone:
+	case i.Zone == zone:
 		return sameZone.Seconds()
-	case region == q.Region:
+	case i.Region == region:
 		return sameRegion.Seconds()
 	}
 	return otherRegion.Seconds()
--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -13,6 +13,8 @@
 	Zone, Region string
 	// Order is the order of the call's rank.
 	Order int
+	// Bytes is the expected size of request and answer; zero if unknown.
+	Bytes int
 	// Exclude holds the ids of instances that the call has tried.
 	Exclude []string
 	// Rand is used by this call only.
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -5,7 +5,10 @@
 const (
 	// minWatch is the shortest wait of a watch. A source that stops answering
 	// a node is noticed after this time and answerSlack at the latest.
-	minWatch = 5 * time.Second
+	minWatch = 10 * time.Second
+	// gatherTime is the pause after a watch that found changes. Changes that
+	// come in quick succession are then read together.
+	gatherTime = 400 * time.Millisecond
 	// maxWatch is the platform's bound on a watch.
 	maxWatch = 30 * time.Second
 	// answerSlack is how long after its wait a watch may still be answered.
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -77,9 +77,9 @@
 	}
 }
 
-func (r *Reader) readOnce(ctx context.Context) error {
+func (r *Reader) readOnce(parent context.Context) error {
 	if !r.listed.Load() {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		ctx, cancel := context.WithTimeout(parent, listTimeout)
 		defer cancel()
 		page, err := r.cfg.Source.List(ctx)
 		if err != nil {
@@ -91,14 +91,16 @@
 		return nil
 	}
 	wait := r.watchWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	ctx, cancel := context.WithTimeout(parent, wait+answerSlack)
 	defer cancel()
 	page, err := r.cfg.Source.Watch(ctx, r.table.At(), wait)
 	if err != nil {
 		return err
 	}
 	r.regained()
-	r.table.Merge(page)
+	if r.table.Merge(page) > 0 {
+		sleep(parent, gatherTime)
+	}
 	return nil
 }
 
--- a/internal/sidecar/activity.go
+++ b/internal/sidecar/activity.go
@@ -11,7 +11,6 @@
 	// mu guards the other fields.
 	mu      sync.Mutex
 	running int
-	lastEnd time.Time
 	// changed is closed and replaced when running becomes zero.
 	changed chan struct{}
 }
@@ -31,42 +30,32 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.running += n
-	a.lastEnd = time.Now()
 	if a.running == 0 {
 		close(a.changed)
 		a.changed = make(chan struct{})
 	}
 }
 
-// state returns whether no request has run for a time, how long that takes at
-// least from now, and a channel that is closed when the last request ends.
-func (a *activity) state(quiet time.Duration) (idle bool, wait time.Duration, changed <-chan struct{}) {
+func (a *activity) state() (idle bool, changed <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.running > 0 {
-		return false, time.Hour, a.changed
-	}
-	wait = quiet - time.Since(a.lastEnd)
-	return wait <= 0, wait, a.changed
+	return a.running == 0, a.changed
 }
 
-// await returns true when no request has run for quiet, or false after limit.
-func (a *activity) await(quiet, limit time.Duration) bool {
+// await returns true as soon as no request runs, or false after limit.
+func (a *activity) await(limit time.Duration) bool {
 	end := time.NewTimer(limit)
 	defer end.Stop()
 	for {
-		idle, wait, changed := a.state(quiet)
+		idle, changed := a.state()
 		if idle {
 			return true
 		}
-		timer := time.NewTimer(wait)
 		select {
-		case <-timer.C:
 		case <-changed:
+			return true
 		case <-end.C:
-			timer.Stop()
 			return false
 		}
-		timer.Stop()
 	}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -29,7 +28,6 @@
 	conns    *activity
 	servers  []*http.Server
 	cancel   context.CancelFunc
-	running  sync.WaitGroup
 }
 
 // Start starts a node. It returns a *ListenError or a *peers.ListenError.
@@ -58,19 +56,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	n.run(ctx, n.reader.Run)
-	n.run(ctx, n.server.Run)
+	go n.reader.Run(ctx)
+	go n.server.Run(ctx)
 	return n, nil
 }
 
-func (n *Node) run(ctx context.Context, f func(context.Context)) {
-	n.running.Add(1)
-	go func() {
-		defer n.running.Done()
-		f(ctx)
-	}()
-}
-
 func (n *Node) listen(a Adapter, table *replica.Table, registry *prometheus.Registry) error {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+a.ReadyPath, n.serveReady)
@@ -101,7 +91,7 @@
 		return &ListenError{Addr: addr, Err: err}
 	}
 	s := &http.Server{
-		Handler: n.conns.count(h), IdleTimeout: idle, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mesh.MaxHeaderBytes,
+		Addr: addr, Handler: n.conns.count(h), IdleTimeout: idle, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mesh.MaxHeaderBytes,
 		ErrorLog: n.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	n.servers = append(n.servers, s)
