Bound the grace of removed entries by calm; tests of the mesh node

Ruled out: the request waited in the queue (68 ms). Change: one second of grace in calm, 2.2 s while the platform does not answer or has just resumed; unknown instances count as fast, the own instance as near.

--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -47,15 +47,15 @@
 	d.serviceShard(i.Service).put(i)
 }
 
-// Lapse records that an instance has no entry any more. A draining instance is
-// gone at once.
-func (d *Directory) Lapse(now time.Time, id string, revision uint64) {
+// Lapse records that an instance has no entry any more and is gone after the
+// grace. A draining instance is gone at once.
+func (d *Directory) Lapse(now time.Time, id string, revision uint64, grace time.Duration) {
 	old := d.Get(id)
 	if old == nil || old.State >= Lapsed {
 		return
 	}
 	next := *old
-	next.Since, next.Revision = now, revision
+	next.Since, next.Revision, next.GoneAt = now, revision, now.Add(grace)
 	next.State = Lapsed
 	if old.State == Draining {
 		next.State = Gone
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -22,19 +22,15 @@
 	ColdUntil time.Time
 	// Since is when this node learnt the state, by this node's clock.
 	Since time.Time
+	// GoneAt is when a lapsed instance counts as gone, by this node's clock.
+	GoneAt time.Time
 	// Revision is the platform's revision of the entry.
 	Revision uint64
 }
 
-// lapsedGrace is how long after its entry vanished an instance may still be
-// used. Entries that expired in an outage come back within two seconds; a
-// removed upstream must not get calls for longer than the drain bound, 2.5 s
-// where it is shortest.
-const lapsedGrace = 2200 * time.Millisecond
-
 // StateAt returns the state at a time.
 func (i *Instance) StateAt(now time.Time) State {
-	if i.State == Lapsed && now.Sub(i.Since) >= lapsedGrace {
+	if i.State == Lapsed && !now.Before(i.GoneAt) {
 		return Gone
 	}
 	return i.State
--- a/internal/mesh/applier.go
+++ b/internal/mesh/applier.go
@@ -18,11 +18,23 @@
 	store     *snapshot.Store
 	directory *instance.Directory
 	log       hclog.Logger
+	// Unstable reports whether the platform has recently not answered. It may
+	// be set before the first Apply.
+	Unstable func(now time.Time) bool
 }
 
+const (
+	// removedGrace is how long an upstream whose entry was removed may get
+	// calls. It is short: the removal may be the only sign that it leaves.
+	removedGrace = time.Second
+	// expiredGrace is the same while the platform is unstable: entries that
+	// expired then are back within two seconds.
+	expiredGrace = 2200 * time.Millisecond
+)
+
 // NewApplier returns an applier.
 func NewApplier(d Decoder, store *snapshot.Store, directory *instance.Directory, log hclog.Logger) *Applier {
-	return &Applier{decoder: d, store: store, directory: directory, log: log}
+	return &Applier{decoder: d, store: store, directory: directory, log: log, Unstable: func(time.Time) bool { return false }}
 }
 
 // Apply decodes an item and puts it in force. A version that cannot be read or
@@ -42,8 +54,12 @@
 		a.log.Info("upstream listed", "instance", i.ID, "service", i.Service, "addr", i.Addr, "state", i.State.String(),
 			"slots", i.Slots, "zone", i.Zone, "revision", item.Revision)
 	case change.GoneID != "":
-		a.directory.Lapse(now, change.GoneID, item.Revision)
-		a.log.Info("upstream has no entry", "instance", change.GoneID, "revision", item.Revision)
+		grace := removedGrace
+		if a.Unstable(now) {
+			grace = expiredGrace
+		}
+		a.directory.Lapse(now, change.GoneID, item.Revision, grace)
+		a.log.Info("upstream has no entry", "instance", change.GoneID, "revision", item.Revision, "grace_ms", grace.Milliseconds())
 	}
 }
 
--- /dev/null
+++ b/internal/mesh/applier_test.go
@@ -0,0 +1,48 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/filbertpier/filbertpier/internal/instance"
+	"github.com/filbertpier/filbertpier/internal/replica"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+// entryDecoder takes the key as the id of an upstream.
+type entryDecoder struct{}
+
+func (entryDecoder) Decode(now time.Time, item replica.Item) (Change, error) {
+	if item.Deleted {
+		return Change{GoneID: item.Key}, nil
+	}
+	return Change{Instance: &instance.Instance{ID: item.Key, Service: "s", Addr: "127.0.0.1:1", Slots: 1, Since: now}}, nil
+}
+
+// Guards against calls for an upstream later than the drain bound (2.5 s) after
+// its entry was removed, which hunt day hunt-39ca-39 showed: the grace for
+// entries that expire in an outage was granted in calm times too. It also
+// guards against dropping upstreams whose entries come back after an outage.
+func TestGraceOfRemovedEntries(t *testing.T) {
+	for _, c := range []struct {
+		unstable bool
+		after    time.Duration
+		serves   bool
+	}{
+		{false, 500 * time.Millisecond, true},
+		{false, 1100 * time.Millisecond, false},
+		{true, 2 * time.Second, true},
+		{true, 2400 * time.Millisecond, false},
+	} {
+		d := instance.NewDirectory()
+		a := NewApplier(entryDecoder{}, snapshot.NewStore(), d, hclog.NewNullLogger())
+		a.Unstable = func(time.Time) bool { return c.unstable }
+		a.Apply(replica.Item{Key: "i", Revision: 1})
+		a.Apply(replica.Item{Key: "i", Revision: 2, Deleted: true})
+		if got := d.Get("i").Serves(time.Now().Add(c.after)); got != c.serves {
+			t.Errorf("unstable %t, after %s: serves %t", c.unstable, c.after, got)
+		}
+	}
+}
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -38,7 +38,7 @@
 	ran := 0
 	for hop := 1; hop <= maxHops; hop++ {
 		choice, ok := s.chooser.Choose(time.Now(), placement.Query{
-			Candidates: s.cfg.Directory.Service(q.service.Selector), Zone: s.cfg.Zone, Region: s.cfg.Region,
+			Candidates: s.cfg.Directory.Service(q.service.Selector), Zone: s.cfg.Zone, Region: s.cfg.Region, LocalAddr: s.cfg.UpstreamAddr,
 			Order: q.rank.Order, Bytes: s.sizes.shard(q.route.Name).get(q.route.Name), Exclude: tried, Rand: q.rng,
 		})
 		if !ok {
--- a/internal/placement/belief.go
+++ b/internal/placement/belief.go
@@ -37,7 +37,9 @@
 // belief is what this node knows of one instance. It is guarded by the lock of
 // its shard.
 type belief struct {
-	ran         [rankClasses]average
+	ran [rankClasses]average
+	// known is set once a call has ended.
+	known       bool
 	outstanding int
 	load        Load
 	loadAt      time.Time
@@ -56,6 +58,7 @@
 func (b *belief) finish(now time.Time, o Outcome) {
 	b.outstanding = max(b.outstanding-1, 0)
 	b.touched = now
+	b.known = b.known || o.Kind != Canceled
 	if o.Load != nil {
 		b.observeLoad(now, *o.Load)
 	}
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -15,6 +15,9 @@
 	// coldFactor multiplies the service time of an instance that has just
 	// started and has not been observed yet.
 	coldFactor = 2.0
+	// unknownFactor makes an instance attractive that this node has not called
+	// yet: it may be new and idle.
+	unknownFactor = 0.5
 	// spread randomizes expectations, so that senders with the same knowledge
 	// do not all choose the same instance.
 	spread = 0.15
@@ -87,6 +90,9 @@
 	}
 	var busy time.Duration
 	c.shard(i.ID).with(i.ID, func(b *belief) {
+		if !b.known {
+			service *= unknownFactor
+		}
 		cost = b.expected(now, q.Order, i.Slots, service)
 		open = !now.Before(b.outUntil)
 		busy = b.busyUntil[rankClass(q.Order)].Sub(now)
@@ -98,7 +104,9 @@
 	if i.State == instance.Lapsed {
 		cost *= coldFactor
 	}
-	cost += c.distances.to(q.Zone, q.Region, i) + transfer(q, i)
+	if i.Addr != q.LocalAddr {
+		cost += c.distances.to(q.Zone, q.Region, i) + transfer(q, i)
+	}
 	return cost * (1 + spread*q.Rand.Float64()), open
 }
 
--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -11,6 +11,8 @@
 	Candidates []*instance.Instance
 	// Zone and Region are those of the asking node.
 	Zone, Region string
+	// LocalAddr is the address of the instance beside the asking node.
+	LocalAddr string
 	// Order is the order of the call's rank.
 	Order int
 	// Bytes is the expected size of request and answer; zero if unknown.
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -18,6 +18,9 @@
 	// watchShare is the part of the platform's read rate that the watches of
 	// all nodes may take together.
 	watchShare = 0.2
+	// unstableTime is how long after an outage entries may be missing that are
+	// about to come back.
+	unstableTime = 3 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -18,8 +18,10 @@
 	// listed is set once the platform's items were listed as a whole.
 	listed atomic.Bool
 	// hint wakes the peer loop: a peer is known to have a newer revision.
-	hint   chan string
-	lostAt atomic.Int64
+	hint chan string
+	// lostAt and regainedAt are when the platform last stopped and resumed
+	// answering, in Unix nanoseconds.
+	lostAt, regainedAt atomic.Int64
 }
 
 // NewReader returns a reader for a table. Run starts it.
@@ -32,6 +34,12 @@
 // Connected reports whether the platform answers this node.
 func (r *Reader) Connected() bool { return r.connected.Load() }
 
+// Unstable reports whether the platform does not answer this node or did not
+// until recently.
+func (r *Reader) Unstable(now time.Time) bool {
+	return !r.Connected() || now.UnixNano()-r.regainedAt.Load() < int64(unstableTime)
+}
+
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
 	done := make(chan struct{})
@@ -123,6 +131,7 @@
 
 func (r *Reader) regained() {
 	if !r.connected.Swap(true) {
+		r.regainedAt.Store(time.Now().UnixNano())
 		r.cfg.Observer.Regained(time.Since(time.Unix(0, r.lostAt.Load())))
 	}
 }
--- /dev/null
+++ b/internal/sidecar/harness_test.go
@@ -0,0 +1,285 @@
+package sidecar_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/instance"
+	"github.com/filbertpier/filbertpier/internal/mesh"
+	"github.com/filbertpier/filbertpier/internal/replica"
+	"github.com/filbertpier/filbertpier/internal/settings"
+	"github.com/filbertpier/filbertpier/internal/sidecar"
+	"github.com/filbertpier/filbertpier/snapshot"
+)
+
+var names = mesh.Names{AttemptID: "Id", TimeLeft: "Left", Seal: "Seal", Expect: "Want", NotRun: "Not-Run", Caller: "Caller"}
+
+// store is a stand-in for the platform's store. Nodes for which it is down get
+// no answer.
+type store struct {
+	mu      sync.Mutex
+	items   map[string]replica.Item
+	at      uint64
+	changed chan struct{}
+}
+
+func newStore() *store {
+	return &store{items: map[string]replica.Item{}, changed: make(chan struct{})}
+}
+
+func (s *store) put(key string, value any) {
+	raw, _ := json.Marshal(value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	s.items[key] = replica.Item{Key: key, Value: raw, Revision: s.at, Deleted: value == nil}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) since(after uint64) (replica.Page, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := replica.Page{At: s.at}
+	for _, i := range s.items {
+		if i.Revision > after {
+			page.Items = append(page.Items, i)
+		}
+	}
+	return page, s.changed
+}
+
+// source is one node's way to the store.
+type source struct {
+	store *store
+	down  atomic.Bool
+}
+
+type downError struct{}
+
+func (downError) Error() string { return "the store is down" }
+
+func (s *source) List(context.Context) (replica.Page, error) {
+	if s.down.Load() {
+		return replica.Page{}, downError{}
+	}
+	page, _ := s.store.since(0)
+	return page, nil
+}
+
+func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (replica.Page, error) {
+	for {
+		if s.down.Load() {
+			return replica.Page{}, downError{}
+		}
+		page, changed := s.store.since(after)
+		if len(page.Items) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(50 * time.Millisecond):
+		case <-ctx.Done():
+			return replica.Page{}, ctx.Err()
+		}
+	}
+}
+
+// version is the test's published configuration.
+type version struct {
+	Number uint64
+	Body   config.SectionBody
+}
+
+type decoder struct{}
+
+func (decoder) Decode(now time.Time, item replica.Item) (mesh.Change, error) {
+	if id, ok := strings.CutPrefix(item.Key, "up/"); ok {
+		if item.Deleted {
+			return mesh.Change{GoneID: id}, nil
+		}
+		i := &instance.Instance{}
+		if err := json.Unmarshal(item.Value, i); err != nil {
+			return mesh.Change{}, err
+		}
+		i.Since, i.Revision = now, item.Revision
+		return mesh.Change{Instance: i}, nil
+	}
+	var v version
+	if err := json.Unmarshal(item.Value, &v); err != nil {
+		return mesh.Change{}, err
+	}
+	doc, err := config.CompileBody(v.Body)
+	if err != nil {
+		return mesh.Change{}, err
+	}
+	return mesh.Change{Snapshot: snapshot.Published(v.Number, item.Value, doc)}, nil
+}
+
+// body returns a document with an idempotent route /safe/ and another one,
+// /once/, to a service.
+func body(service string) config.SectionBody {
+	return config.SectionBody{
+		Section: "main", Owner: "ops",
+		Ranks:    []config.Rank{{Name: "r", TargetMs: 1000, Worth: 1}},
+		Services: []config.Service{{Name: "a", Selector: "a", SlotsAnnounced: true, Connections: 20}, {Name: "b", Selector: "b", SlotsAnnounced: true, Connections: 20}},
+		Retries:  []config.RetryPolicy{{Name: "two", MaxAttempts: 2, BudgetRatio: 0.2}},
+		Routes: []config.Route{
+			{Name: "safe", Host: "h", PathPrefix: "/safe/", Service: service, Rank: "r", Idempotent: true, TimeoutMs: 3000, Retry: "two"},
+			{Name: "once", Host: "h", PathPrefix: "/once/", Service: service, Rank: "r", TimeoutMs: 3000, Retry: "two"},
+		},
+	}
+}
+
+// fleet is a store with VMs, each on a loopback address of its own.
+type fleet struct {
+	t     *testing.T
+	store *store
+	base  int
+	vms   []*vm
+}
+
+// vm is an upstream with the node beside it.
+type vm struct {
+	fleet    *fleet
+	ip, id   string
+	service  string
+	zone     string
+	source   *source
+	node     *sidecar.Node
+	settings *settings.Mesh
+	runs     atomic.Int64
+	upstream *httptest.Server
+}
+
+// newFleet starts a store with version 1, which routes to service a.
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, store: newStore(), base: 20000 + rand.IntN(1000)*10}
+	f.store.put("config", version{Number: 1, Body: body("a")})
+	return f
+}
+
+// add starts a VM. The handler runs calls at its upstream.
+func (f *fleet) add(service, zone string, run http.HandlerFunc) *vm {
+	f.t.Helper()
+	n := len(f.vms) + 2
+	v := &vm{fleet: f, ip: fmt.Sprintf("127.0.%d.%d", 1+f.base%200, n), id: fmt.Sprintf("i%d", n), service: service, zone: zone, source: &source{store: f.store}}
+	f.vms = append(f.vms, v)
+	l, err := net.Listen("tcp", v.addr(0))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	v.upstream = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(names.AttemptID, r.Header.Get(names.AttemptID))
+		if r.Header.Get(names.Expect) != v.id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		v.runs.Add(1)
+		w.Header().Set(names.Seal, "sealed by "+v.id)
+		run(w, r)
+	}))
+	v.upstream.Listener = l
+	v.upstream.Start()
+	f.t.Cleanup(func() {
+		v.upstream.CloseClientConnections()
+		v.upstream.Close()
+	})
+	v.list(instance.Ready)
+	v.settings = &settings.Mesh{
+		VM: "vm" + strconv.Itoa(n), Zone: zone, Region: "r", Service: service, Upstream: v.addr(0), LocalIP: v.ip,
+		Listen: settings.MeshListen{Callers: v.addr(1), Nodes: v.addr(2), Control: v.addr(3), Ready: v.addr(4)},
+		Seeds:  []string{f.vms[0].addr(3)}, StopTime: 3 * time.Second,
+	}
+	return v
+}
+
+func (v *vm) addr(n int) string { return net.JoinHostPort(v.ip, strconv.Itoa(v.fleet.base+n)) }
+
+// list publishes the upstream's entry.
+func (v *vm) list(s instance.State) {
+	v.fleet.store.put("up/"+v.id, instance.Instance{ID: v.id, Service: v.service, Addr: v.addr(0), Zone: v.zone, Region: "r", Slots: 4, State: s})
+}
+
+func (v *vm) start() *vm {
+	t := v.fleet.t
+	t.Helper()
+	node, err := sidecar.Start(v.settings, sidecar.Adapter{
+		Names: names, Source: v.source, Decoder: decoder{}, ReadyPath: "/ready", MetricsPath: "/metrics",
+	}, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.node = node
+	t.Cleanup(node.Close)
+	return v
+}
+
+// answer is what a caller got.
+type answer struct {
+	status     int
+	body       string
+	retryAfter string
+	err        error
+}
+
+var lastID atomic.Int64
+
+// call sends a call to the VM's own node.
+func (v *vm) call(method, path string) answer {
+	req, err := http.NewRequest(method, "http://"+v.addr(1)+path, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = "h"
+	req.Header.Set(names.AttemptID, strconv.FormatInt(lastID.Add(1), 10))
+	req.Header.Set(names.TimeLeft, "2500")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(raw), retryAfter: resp.Header.Get("Retry-After"), err: err}
+}
+
+func (v *vm) ready() bool {
+	resp, err := http.Get("http://" + v.addr(4) + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not reached: " + what)
+		}
+	}
+}
+
+func work(d time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(d)
+		_, _ = io.WriteString(w, "done "+r.URL.Path)
+	}
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -35,7 +35,8 @@
 	n := &Node{settings: s, log: log, conns: newActivity()}
 	registry := prometheus.NewRegistry()
 	store, directory := snapshot.NewStore(), instance.NewDirectory()
-	table := replica.NewTable(mesh.NewApplier(a.Decoder, store, directory, log.Named("feed")).Apply)
+	applier := mesh.NewApplier(a.Decoder, store, directory, log.Named("feed"))
+	table := replica.NewTable(applier.Apply)
 	client := &peers.Client{
 		Directory: directory, Seeds: s.Seeds, Port: port(s.Listen.Control), Self: s.Listen.Control, Region: s.Region,
 	}
@@ -43,6 +44,7 @@
 		Source: a.Source, Peers: client, Observer: newObserver(log.Named("feed"), registry),
 		ReadsPerSecond: s.StoreReadsPerSecond, FleetSize: func() int { return len(directory.All()) },
 	}, table)
+	applier.Unstable = n.reader.Unstable
 	n.server = mesh.NewServer(mesh.Config{
 		Names: a.Names, VM: s.VM, Zone: s.Zone, Region: s.Region, Service: s.Service,
 		UpstreamAddr: s.Upstream, PeerPort: port(s.Listen.Nodes), LocalIP: s.LocalIP,
@@ -51,7 +53,7 @@
 		RetryRatio: s.RetryRatio, Log: log.Named("call"), Metrics: mesh.NewMetrics(registry),
 	})
 	if err := n.listen(a, table, registry); err != nil {
-		n.close()
+		n.Close()
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -110,7 +112,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (n *Node) close() {
+// Close ends the node at once, with the calls in flight.
+func (n *Node) Close() {
+	if n.cancel != nil {
+		n.cancel()
+	}
 	if n.control != nil {
 		n.control.Close()
 	}
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -30,8 +30,7 @@
 	idle := n.conns.await(rest)
 	n.shutdown()
 	n.log.Info("node stopped", "idle", idle, "after_ms", time.Since(began).Milliseconds())
-	n.cancel()
-	n.close()
+	n.Close()
 }
 
 // shutdown lets the servers send the answers of the last calls.
