--- /dev/null
+++ b/internal/replica/table_test.go
@@ -0,0 +1,59 @@
+package replica
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a copy that goes back to an older item, or that depends on the
+// order in which changes arrive from the platform and from peers.
+func TestMergeConvergesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []Item
+		n := rapid.IntRange(1, 30).Draw(t, "changes")
+		for i := range n {
+			log = append(log, Item{
+				Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Revision: uint64(i + 1),
+				Deleted: rapid.Bool().Draw(t, "deleted"),
+			})
+		}
+		newest := map[string]Item{}
+		for _, i := range log {
+			newest[i.Key] = i
+		}
+		last := map[string]uint64{}
+		table := NewTable(func(i Item) {
+			if i.Revision <= last[i.Key] {
+				t.Fatalf("%s went from revision %d to %d", i.Key, last[i.Key], i.Revision)
+			}
+			last[i.Key] = i.Revision
+		})
+		for _, i := range rapid.Permutation(log).Draw(t, "order") {
+			table.Merge(Page{Items: []Item{i}, At: i.Revision})
+		}
+		for _, got := range table.Since(0).Items {
+			if want := newest[got.Key]; got.Revision != want.Revision || got.Deleted != want.Deleted {
+				t.Fatalf("%s is %+v, want %+v", got.Key, got, want)
+			}
+		}
+		if table.At() != uint64(n) {
+			t.Fatalf("at %d, want %d", table.At(), n)
+		}
+	})
+}
+
+// Guards against keys that stay although a new list lacks them, and against
+// deleting what changed after the list was made.
+func TestReplaceDeletesWhatTheListLacks(t *testing.T) {
+	table := NewTable(func(Item) {})
+	table.Merge(Page{Items: []Item{{Key: "old", Revision: 3}, {Key: "new", Revision: 9}}, At: 9})
+	table.Replace(Page{Items: []Item{{Key: "kept", Revision: 4}}, At: 7})
+	got := map[string]bool{}
+	for _, i := range table.Since(0).Items {
+		got[i.Key] = !i.Deleted
+	}
+	if got["old"] || !got["new"] || !got["kept"] {
+		t.Errorf("present: %v", got)
+	}
+}
