Read the platform at two nodes of a region; others follow them in a tree

Ruled out: longer waits alone (most calls answer changes); a longer pause after changes (slower convergence). Change: replica.NewPlan orders a region's nodes by hash; two read the store, the others follow in a tree with fanout 8 by JSON-RPC long polls of 0.8 s over a kept connection, and read the store themselves for 3 s when the parent is silent or not fresh.

--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -5,8 +5,6 @@
 	Source   Source
 	Peers    Fetcher
 	Observer Observer
-	// ReadsPerSecond is the platform's read rate for all nodes together.
-	ReadsPerSecond float64
-	// FleetSize returns the number of nodes that read the platform.
-	FleetSize func() int
+	// Plan returns from whom the node learns of changes at present.
+	Plan func() Plan
 }
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -3,21 +3,24 @@
 import "time"
 
 const (
-	// minWatch is the shortest wait of a watch. A source that stops answering
-	// a node is noticed after this time and answerSlack at the latest.
-	minWatch = 10 * time.Second
+	// watchWait is the wait of a watch. A platform that stops answering a node
+	// is noticed after this time and answerSlack at the latest.
+	watchWait = 5 * time.Second
 	// gatherTime is the pause after a watch that found changes. Changes that
 	// come in quick succession are then read together.
 	gatherTime = 400 * time.Millisecond
-	// maxWatch is the platform's bound on a watch.
-	maxWatch = 30 * time.Second
 	// answerSlack is how long after its wait a watch may still be answered.
-	answerSlack = 1500 * time.Millisecond
+	answerSlack = time.Second
+	// followWait is the wait at another node, and followSlack how long after it
+	// the answer may come: a node whose parent is paused or dead reads the
+	// platform after both.
+	followWait  = 800 * time.Millisecond
+	followSlack = 400 * time.Millisecond
+	// directTime is how long a node reads the platform itself after its parent
+	// failed.
+	directTime = 3 * time.Second
 	// listTimeout bounds the listing of all items.
 	listTimeout = 5 * time.Second
-	// watchShare is the part of the platform's read rate that the watches of
-	// all nodes may take together.
-	watchShare = 0.2
 	// unstableTime is how long after an outage entries may be missing that are
 	// about to come back.
 	unstableTime = 3 * time.Second
--- a/internal/replica/page.go
+++ b/internal/replica/page.go
@@ -5,4 +5,7 @@
 	Items []Item `json:"items"`
 	// At is the revision that the answer is complete to.
 	At uint64 `json:"at"`
+	// Fresh is set by a peer that hears from the platform, itself or through
+	// the node that it follows.
+	Fresh bool `json:"fresh,omitempty"`
 }
--- a/internal/replica/peers/client.go
+++ b/internal/replica/peers/client.go
@@ -26,6 +26,8 @@
 	Port string
 	// Self is the node's own control address, Region its region.
 	Self, Region string
+	// parent is the kept connection to the node that is followed.
+	parent parentConn
 }
 
 // Candidates implements replica.Fetcher: nodes of the own region go first, and
@@ -61,23 +63,61 @@
 	rand.Shuffle(len(s), func(i, j int) { s[i], s[j] = s[j], s[i] })
 }
 
+// Plan returns from whom the node learns of changes.
+func (c *Client) Plan() replica.Plan {
+	region := []string{c.Self}
+	for _, i := range c.Directory.All() {
+		if i.Region != c.Region {
+			continue
+		}
+		if host, _, err := net.SplitHostPort(i.Addr); err == nil {
+			region = append(region, c.Addr(host))
+		}
+	}
+	return replica.NewPlan(c.Self, region)
+}
+
+// Follow implements replica.Fetcher. It is used by one goroutine and returns a
+// *FetchError.
+func (c *Client) Follow(ctx context.Context, addr string, after uint64, wait time.Duration) (replica.Page, error) {
+	conn, err := c.parent.get(ctx, addr)
+	if err != nil {
+		return replica.Page{}, err
+	}
+	page, err := ask(ctx, conn, addr, fetchParams{After: after, WaitMs: wait.Milliseconds()})
+	if err != nil {
+		c.parent.drop()
+	}
+	return page, err
+}
+
 // Fetch implements replica.Fetcher. It returns a *FetchError.
 func (c *Client) Fetch(ctx context.Context, addr string, after uint64) (replica.Page, error) {
-	var page replica.Page
-	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	conn, err := dial(ctx, addr)
 	if err != nil {
-		return page, &FetchError{Addr: addr, Err: err}
+		return replica.Page{}, err
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = raw.SetDeadline(deadline)
-	}
-	conn := jsonrpc2.NewConn(ctx, stream(raw), jsonrpc2.HandlerWithError(
-		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound}
-		}))
 	defer func() { _ = conn.Close() }()
-	if err := conn.Call(ctx, fetchMethod, fetchParams{After: after}, &page); err != nil {
+	return ask(ctx, conn, addr, fetchParams{After: after})
+}
+
+func ask(ctx context.Context, conn *jsonrpc2.Conn, addr string, p fetchParams) (replica.Page, error) {
+	var page replica.Page
+	if err := conn.Call(ctx, fetchMethod, p, &page); err != nil {
 		return page, &FetchError{Addr: addr, Err: err}
 	}
 	return page, nil
 }
+
+func dial(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, &FetchError{Addr: addr, Err: err}
+	}
+	return jsonrpc2.NewConn(context.Background(), stream(raw), jsonrpc2.HandlerWithError(refuse)), nil
+}
+
+// refuse answers calls of the other side: this side only asks.
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound}
+}
--- a/internal/replica/peers/server.go
+++ b/internal/replica/peers/server.go
@@ -13,32 +13,44 @@
 )
 
 const (
-	// maxConns bounds the questions answered at once.
-	maxConns = 32
-	// questionTimeout bounds one connection.
-	questionTimeout = 3 * time.Second
+	// maxConns bounds the nodes that are answered at once.
+	maxConns = 64
+	// maxWait bounds the wait for a change.
+	maxWait = 5 * time.Second
+	// keepAlive finds connections whose other side is gone.
+	keepAlive = 5 * time.Second
 )
 
 // Server answers the questions of other nodes. It is safe for concurrent use.
 type Server struct {
 	listener net.Listener
 	table    *replica.Table
-	conns    atomic.Int64
+	// fresh reports whether the node hears from the platform.
+	fresh func() bool
+	conns atomic.Int64
+	// ctx ends with Close.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // Listen starts a server. It returns a *ListenError.
-func Listen(addr string, table *replica.Table) (*Server, error) {
-	l, err := net.Listen("tcp", addr)
+func Listen(addr string, table *replica.Table, fresh func() bool) (*Server, error) {
+	config := net.ListenConfig{KeepAlive: keepAlive}
+	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, &ListenError{Addr: addr, Err: err}
 	}
-	s := &Server{listener: l, table: table}
+	s := &Server{listener: l, table: table, fresh: fresh}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	go s.accept()
 	return s, nil
 }
 
-// Close ends the listener.
-func (s *Server) Close() { _ = s.listener.Close() }
+// Close ends the listener and the connections.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.listener.Close()
+}
 
 func (s *Server) accept() {
 	for {
@@ -57,18 +69,15 @@
 
 func (s *Server) serve(c net.Conn) {
 	defer s.conns.Add(-1)
-	_ = c.SetDeadline(time.Now().Add(questionTimeout))
-	ctx, cancel := context.WithTimeout(context.Background(), questionTimeout)
-	defer cancel()
-	conn := jsonrpc2.NewConn(ctx, stream(c), jsonrpc2.HandlerWithError(s.handle))
+	conn := jsonrpc2.NewConn(s.ctx, stream(c), jsonrpc2.HandlerWithError(s.handle))
 	select {
 	case <-conn.DisconnectNotify():
-	case <-ctx.Done():
+	case <-s.ctx.Done():
 		_ = conn.Close()
 	}
 }
 
-func (s *Server) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	if r.Method != fetchMethod || r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	}
@@ -76,7 +85,25 @@
 	if err := json.Unmarshal(*r.Params, &p); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	return s.table.Since(p.After), nil
+	s.await(ctx, p)
+	page := s.table.Since(p.After)
+	page.Fresh = s.fresh()
+	return page, nil
+}
+
+// await returns when the table has changes for the asking node, or after the
+// wait that it asked for.
+func (s *Server) await(ctx context.Context, p fetchParams) {
+	if p.WaitMs <= 0 {
+		return
+	}
+	timer := time.NewTimer(min(time.Duration(p.WaitMs)*time.Millisecond, maxWait))
+	defer timer.Stop()
+	select {
+	case <-s.table.Changed(p.After):
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 func stream(c net.Conn) jsonrpc2.ObjectStream {
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -19,6 +19,9 @@
 	listed atomic.Bool
 	// hint wakes the peer loop: a peer is known to have a newer revision.
 	hint chan string
+	// directUntil is when the node may follow its parent again. It is used by
+	// the reading goroutine only.
+	directUntil time.Time
 	// lostAt and regainedAt are when the platform last stopped and resumed
 	// answering, in Unix nanoseconds.
 	lostAt, regainedAt atomic.Int64
@@ -66,7 +69,7 @@
 func (r *Reader) readSource(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		err := r.readOnce(ctx)
+		err := r.step(ctx)
 		if err == nil {
 			backoff = minBackoff
 			continue
@@ -85,6 +88,38 @@
 	}
 }
 
+// step reads once, from the node's parent or from the platform.
+func (r *Reader) step(ctx context.Context) error {
+	plan := r.cfg.Plan()
+	if plan.Parent == "" || r.table.At() == 0 || time.Now().Before(r.directUntil) {
+		return r.readOnce(ctx)
+	}
+	err := r.follow(ctx, plan.Parent)
+	if err != nil {
+		r.cfg.Observer.PeerFailed(plan.Parent, err)
+		r.directUntil = time.Now().Add(directTime)
+	}
+	return nil
+}
+
+// follow waits for changes at the parent. It returns a *NotFreshError if the
+// parent does not hear from the platform.
+func (r *Reader) follow(parent context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(parent, followWait+followSlack)
+	defer cancel()
+	page, err := r.cfg.Peers.Follow(ctx, addr, r.table.At(), followWait)
+	if err != nil {
+		return err
+	}
+	r.table.Merge(page)
+	if !page.Fresh {
+		return &NotFreshError{Addr: addr, At: page.At}
+	}
+	r.listed.Store(true)
+	r.regained()
+	return nil
+}
+
 func (r *Reader) readOnce(parent context.Context) error {
 	if !r.listed.Load() {
 		ctx, cancel := context.WithTimeout(parent, listTimeout)
@@ -98,10 +133,9 @@
 		r.table.Replace(page)
 		return nil
 	}
-	wait := r.watchWait()
-	ctx, cancel := context.WithTimeout(parent, wait+answerSlack)
+	ctx, cancel := context.WithTimeout(parent, watchWait+answerSlack)
 	defer cancel()
-	page, err := r.cfg.Source.Watch(ctx, r.table.At(), wait)
+	page, err := r.cfg.Source.Watch(ctx, r.table.At(), watchWait)
 	if err != nil {
 		return err
 	}
@@ -112,16 +146,6 @@
 	return nil
 }
 
-// watchWait is longer in large fleets, so that all watches together stay
-// within a share of the platform's read rate.
-func (r *Reader) watchWait() time.Duration {
-	if r.cfg.ReadsPerSecond <= 0 {
-		return minWatch
-	}
-	wait := time.Duration(float64(r.cfg.FleetSize()) / (watchShare * r.cfg.ReadsPerSecond) * float64(time.Second))
-	return min(max(wait, minWatch), maxWatch)
-}
-
 func (r *Reader) lost(err error) {
 	if r.connected.Swap(false) || r.lostAt.Load() == 0 {
 		r.lostAt.Store(time.Now().UnixNano())
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -12,17 +12,19 @@
 // Table is the node's copy. It is safe for concurrent use.
 type Table struct {
 	shards [tableShards]shard
-	// mu guards at and orders Merge, so that observers see the changes of one
+	// mu guards at and changed and orders Merge, so that observers see the changes of one
 	// key in the order of their revisions.
 	mu sync.Mutex
 	at uint64
+	// changed is closed and replaced when at advances.
+	changed chan struct{}
 	// observe is called with each change, one at a time.
 	observe func(Item)
 }
 
 // NewTable returns an empty table that reports each change to observe.
 func NewTable(observe func(Item)) *Table {
-	t := &Table{observe: observe}
+	t := &Table{observe: observe, changed: make(chan struct{})}
 	for i := range t.shards {
 		t.shards[i].items = map[string]Item{}
 	}
@@ -43,7 +45,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	news := t.put(p.Items)
-	t.at = max(t.at, p.At)
+	t.advance(p.At)
 	return news
 }
 
@@ -63,10 +65,32 @@
 		}
 	}
 	news := t.put(items)
-	t.at = max(t.at, p.At)
+	t.advance(p.At)
 	return news
 }
 
+func (t *Table) advance(at uint64) {
+	if at <= t.at {
+		return
+	}
+	t.at = at
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed when the table is complete to a
+// revision after the given one.
+func (t *Table) Changed(after uint64) <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.at > after {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	return t.changed
+}
+
 func (t *Table) put(items []Item) int {
 	news := 0
 	for _, i := range items {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -42,7 +42,7 @@
 	}
 	n.reader = replica.NewReader(replica.Config{
 		Source: a.Source, Peers: client, Observer: newObserver(log.Named("feed"), registry),
-		ReadsPerSecond: s.StoreReadsPerSecond, FleetSize: func() int { return len(directory.All()) },
+		Plan: client.Plan,
 	}, table)
 	applier.Unstable = n.reader.Unstable
 	n.server = mesh.NewServer(mesh.Config{
@@ -69,7 +69,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("GET "+a.MetricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	var err error
-	if n.control, err = peers.Listen(n.settings.Listen.Control, table); err != nil {
+	if n.control, err = peers.Listen(n.settings.Listen.Control, table, n.reader.Connected); err != nil {
 		return err
 	}
 	l := n.settings.Listen
--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -14,8 +14,15 @@
 // coming until it is killed, and against one that does not end in time.
 func TestStopUnderLoadCutsNoCall(t *testing.T) {
 	f := newFleet(t)
-	a := f.add("a", "z1", work(80*time.Millisecond)).start()
-	b := f.add("a", "z1", work(80*time.Millisecond)).start()
+	run := func(w http.ResponseWriter, r *http.Request) {
+		d := 80 * time.Millisecond
+		if r.URL.Path == "/once/slow" {
+			d = 600 * time.Millisecond
+		}
+		work(d)(w, r)
+	}
+	a := f.add("a", "z1", run).start()
+	b := f.add("a", "z1", run).start()
 	for _, v := range f.vms {
 		await(t, "ready", v.ready)
 	}
@@ -48,7 +55,13 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	began := time.Now()
+	slow := make(chan answer, 1)
+	// This call is in flight when the node begins to refuse others.
+	time.AfterFunc(a.settings.StopTime/2-200*time.Millisecond, func() { slow <- a.call("POST", "/once/slow") })
 	a.node.Stop()
+	if got := <-slow; got.status != http.StatusOK {
+		t.Errorf("the call in flight got %+v", got)
+	}
 	if took := time.Since(began); took > a.settings.StopTime {
 		t.Errorf("the stop took %s", took)
 	}
@@ -60,7 +73,7 @@
 	if statuses[http.StatusOK] < 20 || statuses[http.StatusServiceUnavailable] == 0 {
 		t.Errorf("statuses %v", statuses)
 	}
-	if ran, told := a.runs.Load()+b.runs.Load(), int64(statuses[http.StatusOK]); ran != told {
+	if ran, told := a.runs.Load()+b.runs.Load(), int64(statuses[http.StatusOK])+1; ran != told {
 		t.Errorf("%d calls ran, %d were answered", ran, told)
 	}
 }
