Write log lines in batches without blocking; compress values between nodes

Cause: a write per log line and 78 KB of document per node and change; a reader of the log that stalls would stall calls. Ruled out: fewer lines.

--- a/cmd/fpsidecar/main.go
+++ b/cmd/fpsidecar/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/settings"
 	"github.com/filbertpier/filbertpier/internal/sidecar"
+	"github.com/filbertpier/filbertpier/internal/telemetry"
 	"github.com/filbertpier/filbertpier/platform"
 )
 
@@ -30,9 +31,14 @@
 	path := app.Flag("settings", "Settings file of the platform.").Envar(platform.SettingsVariable).Required().String()
 	level := app.Flag("log-level", "trace, debug, info, warn or error.").Default("info").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	log := hclog.New(&hclog.LoggerOptions{Name: "fpsidecar", JSONFormat: true, Output: os.Stdout, Level: hclog.LevelFromString(*level)})
-	if err := run(*path, log); err != nil {
+	out := telemetry.NewAsyncWriter(os.Stdout)
+	log := hclog.New(&hclog.LoggerOptions{Name: "fpsidecar", JSONFormat: true, Output: out, Level: hclog.LevelFromString(*level)})
+	err := run(*path, log)
+	if err != nil {
 		log.Error("the node cannot start", "error", err.Error())
+	}
+	out.Close()
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- a/internal/replica/peers/client.go
+++ b/internal/replica/peers/client.go
@@ -27,7 +27,8 @@
 	// Self is the node's own control address, Region its region.
 	Self, Region string
 	// parent is the kept connection to the node that is followed.
-	parent parentConn
+	parent   parentConn
+	unpacker unpacker
 }
 
 // Candidates implements replica.Fetcher: nodes of the own region go first, and
@@ -84,7 +85,7 @@
 	if err != nil {
 		return replica.Page{}, err
 	}
-	page, err := ask(ctx, conn, addr, fetchParams{After: after, WaitMs: wait.Milliseconds()})
+	page, err := c.ask(ctx, conn, addr, fetchParams{After: after, WaitMs: wait.Milliseconds()})
 	if err != nil {
 		c.parent.drop()
 	}
@@ -98,15 +99,15 @@
 		return replica.Page{}, err
 	}
 	defer func() { _ = conn.Close() }()
-	return ask(ctx, conn, addr, fetchParams{After: after})
+	return c.ask(ctx, conn, addr, fetchParams{After: after})
 }
 
-func ask(ctx context.Context, conn *jsonrpc2.Conn, addr string, p fetchParams) (replica.Page, error) {
-	var page replica.Page
+func (c *Client) ask(ctx context.Context, conn *jsonrpc2.Conn, addr string, p fetchParams) (replica.Page, error) {
+	var page wirePage
 	if err := conn.Call(ctx, fetchMethod, p, &page); err != nil {
-		return page, &FetchError{Addr: addr, Err: err}
+		return replica.Page{}, &FetchError{Addr: addr, Err: err}
 	}
-	return page, nil
+	return c.unpacker.page(&page)
 }
 
 func dial(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
--- a/internal/replica/peers/server.go
+++ b/internal/replica/peers/server.go
@@ -26,21 +26,26 @@
 	listener net.Listener
 	table    *replica.Table
 	// fresh reports whether the node hears from the platform.
-	fresh func() bool
-	conns atomic.Int64
+	fresh  func() bool
+	packer *packer
+	conns  atomic.Int64
 	// ctx ends with Close.
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-// Listen starts a server. It returns a *ListenError.
+// Listen starts a server. It returns a *ListenError or a *CodecError.
 func Listen(addr string, table *replica.Table, fresh func() bool) (*Server, error) {
+	p, err := newPacker()
+	if err != nil {
+		return nil, err
+	}
 	config := net.ListenConfig{KeepAlive: keepAlive}
 	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, &ListenError{Addr: addr, Err: err}
 	}
-	s := &Server{listener: l, table: table, fresh: fresh}
+	s := &Server{listener: l, table: table, fresh: fresh, packer: p}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	go s.accept()
 	return s, nil
@@ -87,8 +92,11 @@
 	}
 	s.await(ctx, p)
 	page := s.table.Since(p.After)
-	page.Fresh = s.fresh()
-	return page, nil
+	out := wirePage{At: page.At, Fresh: s.fresh()}
+	for _, i := range page.Items {
+		out.Items = append(out.Items, s.packer.pack(i))
+	}
+	return out, nil
 }
 
 // await returns when the table has changes for the asking node, or after the
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -88,7 +88,7 @@
 }
 
 func (n *Node) serve(addr string, h http.Handler, idle time.Duration) error {
-	l, err := net.Listen("tcp", addr)
+	l, err := listenConfig.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return &ListenError{Addr: addr, Err: err}
 	}
@@ -101,6 +101,11 @@
 	return nil
 }
 
+// listenConfig leaves out probes of idle connections: the idle timeout of the
+// server ends those of vanished clients, and setting probes up costs four calls
+// of the kernel per connection.
+var listenConfig = net.ListenConfig{KeepAlive: -1}
+
 // headerTimeout bounds how long a client may take to send a header.
 const headerTimeout = 10 * time.Second
 
