--- a/cmd/fpsidecar/main.go
+++ b/cmd/fpsidecar/main.go
@@ -20,7 +20,7 @@
 const (
 	// gcPercent trades memory for processor time: a node's live heap is a few
 	// megabytes.
-	gcPercent = 400
+	gcPercent = 150
 	// memoryShare is the part of the node's memory limit from which garbage is
 	// collected more often.
 	memoryShare = 0.6
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -148,7 +148,7 @@
 
 // fleet is a store with VMs, each on a loopback address of its own.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *store
 	base  int
 	vms   []*vm
@@ -168,7 +168,7 @@
 }
 
 // newFleet starts a store with version 1, which routes to service a.
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	f := &fleet{t: t, store: newStore(), base: 20000 + rand.IntN(1000)*10}
 	f.store.put("config", version{Number: 1, Body: body("a")})
 	return f
@@ -268,7 +268,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func await(t *testing.T, what string, ok func() bool) {
+func await(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
