--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -47,7 +47,7 @@
 			}
 			return last, hop - 1
 		}
-		if last != nil && last.kind == ResultNotRun && choice.LastResort && !last.reached {
+		if choice.LastResort && last.noRoom() {
 			return last, hop - 1
 		}
 		res := s.attempt(ctx, q, choice)
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -38,10 +38,8 @@
 	switch {
 	case errors.As(err, &dial):
 		return notRun(ReasonUnreachable, err.Error())
-	case err != nil && ctx.Err() != nil:
-		return broken(ended(ctx), err.Error())
 	case err != nil:
-		return broken(ReasonConnection, err.Error())
+		return broken(brokenReason(ctx, err), err.Error())
 	}
 	res := s.parseResult(ctx, resp)
 	if res.at > 0 {
@@ -111,9 +109,13 @@
 	}
 }
 
-// printable drops what cannot stand in a header.
+// printable replaces what cannot stand in a header. Durations contain a micro
+// sign.
 func printable(r rune) rune {
-	if r < ' ' || r > '~' {
+	switch {
+	case r == 'µ':
+		return 'u'
+	case r < ' ' || r > '~':
 		return -1
 	}
 	return r
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -132,10 +133,19 @@
 		}
 		return notRun(ReasonUnreachable, err.Error())
 	}
-	if ctx.Err() != nil {
-		return broken(ended(ctx), err.Error())
+	return broken(brokenReason(ctx, err), err.Error())
+}
+
+// brokenReason tells why an exchange ended without an answer. The deadline of
+// the connection may pass just before that of the context.
+func brokenReason(ctx context.Context, err error) Reason {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return ReasonDeadline
+	case ctx.Err() != nil:
+		return ended(ctx)
 	}
-	return broken(ReasonConnection, err.Error())
+	return ReasonConnection
 }
 
 // answer checks that an answer is the upstream's and holds it.
@@ -184,11 +194,7 @@
 	res.body = body
 	if err != nil {
 		_ = resp.Body.Close()
-		failed := broken(ReasonConnection, err.Error())
-		if ctx.Err() != nil {
-			failed.reason = ended(ctx)
-		}
-		return failed
+		return broken(brokenReason(ctx, err), err.Error())
 	}
 	if len(body) > holdBytes {
 		res.rest = resp.Body
--- a/internal/mesh/result.go
+++ b/internal/mesh/result.go
@@ -50,3 +50,9 @@
 		_ = r.rest.Close()
 	}
 }
+
+// noRoom reports whether a call was refused because an upstream is busy. Another
+// busy one would refuse it too.
+func (r *result) noRoom() bool {
+	return r != nil && r.kind == ResultNotRun && (r.reason == ReasonLate || r.reason == ReasonOverloaded || r.reason == ReasonDeadline)
+}
