--- a/cmd/fpctl/app.go
+++ b/cmd/fpctl/app.go
@@ -26,6 +26,7 @@
 	a.addDocumentCommands()
 	a.addLeadCommands()
 	a.addFleetCommands()
+	a.addLogCommands()
 	return a
 }
 
--- /dev/null
+++ b/internal/ctl/explain/doc.go
@@ -0,0 +1,3 @@
+// Package explain tells the story of one request from the logs of several
+// nodes.
+package explain
--- /dev/null
+++ b/internal/ctl/explain/read_error.go
@@ -0,0 +1,12 @@
+package explain
+
+// ReadError reports a log file that cannot be read.
+type ReadError struct {
+	Path string
+	Err  error
+}
+
+func (e *ReadError) Error() string { return "reading " + e.Path + ": " + e.Err.Error() }
+
+// Unwrap returns the operating system's error.
+func (e *ReadError) Unwrap() error { return e.Err }
--- a/internal/mesh/finish.go
+++ b/internal/mesh/finish.go
@@ -21,19 +21,28 @@
 	s.cfg.Metrics.Calls.WithLabelValues(rank, outcome, string(res.reason)).Inc()
 	s.cfg.Metrics.CallSeconds.WithLabelValues(rank, outcome).Observe(time.Since(q.arrived).Seconds())
 	s.logCall(q, res, outcome, attempts)
-	switch {
-	case res.kind == ResultAnswered && res.header != nil:
+	if res.kind == ResultAnswered && res.header != nil {
 		s.copyAnswer(w, res)
+		return
+	}
+	if res.kind == ResultNotRun {
+		w.Header()["Retry-After"] = []string{retryAfter(q, res)}
+	}
+	writeStatus(w, statusOf(res))
+}
+
+// statusOf returns the status that the caller gets. 503 promises that the call
+// has not run and will not run; 502 and 504 promise nothing.
+func statusOf(res *result) int {
+	switch {
 	case res.kind == ResultAnswered:
-		writeStatus(w, res.status)
+		return res.status
 	case res.kind == ResultNotRun:
-		w.Header()["Retry-After"] = []string{retryAfter(q, res)}
-		writeStatus(w, http.StatusServiceUnavailable)
+		return http.StatusServiceUnavailable
 	case res.reason == ReasonDeadline:
-		writeStatus(w, http.StatusGatewayTimeout)
-	default:
-		writeStatus(w, http.StatusBadGateway)
+		return http.StatusGatewayTimeout
 	}
+	return http.StatusBadGateway
 }
 
 func outcomeOf(res *result) string {
--- a/internal/mesh/log.go
+++ b/internal/mesh/log.go
@@ -11,7 +11,7 @@
 	if !s.cfg.Log.IsInfo() {
 		return
 	}
-	fields := []any{"id", q.id, "outcome", outcome, "status", res.status, "attempts", attempts, "ms", time.Since(q.arrived).Milliseconds()}
+	fields := []any{"id", q.id, "outcome", outcome, "status", statusOf(res), "attempts", attempts, "ms", time.Since(q.arrived).Milliseconds()}
 	if q.route != nil {
 		fields = append(fields, "route", q.route.Name, "rank", q.rank.Name, "service", q.service.Name, "allowed_ms", q.deadline.Sub(q.arrived).Milliseconds())
 	}
--- a/internal/telemetry/async_writer.go
+++ b/internal/telemetry/async_writer.go
@@ -14,6 +14,9 @@
 	// asyncGather is how long lines are gathered into one write: a write for
 	// each line costs a call of the kernel.
 	asyncGather = 50 * time.Millisecond
+	// asyncBatch bounds one write: a pipe takes up to this many bytes as a whole,
+	// so that lines are never torn.
+	asyncBatch = 4096
 	// asyncFlush bounds the writing of the rest at the end.
 	asyncFlush = 500 * time.Millisecond
 )
@@ -86,15 +89,30 @@
 	for {
 		select {
 		case line := <-w.lines:
-			batch = append(batch, line...)
+			batch = w.add(batch, line)
 			continue
 		default:
 		}
 		break
 	}
 	if n := w.leftOut.Swap(0); n > 0 {
-		batch = fmt.Appendf(batch, "{\"@level\":\"warn\",\"@message\":\"log lines left out\",\"count\":%d}\n", n)
+		now := time.Now().UTC().Format(time.RFC3339Nano)
+		batch = w.add(batch, fmt.Appendf(nil, "{\"@level\":\"warn\",\"@message\":\"log lines left out\",\"@timestamp\":%q,\"count\":%d}\n", now, n))
 	}
+	w.write(batch)
+}
+
+// add appends a line to a batch and writes the batch before if it gets too
+// large.
+func (w *AsyncWriter) add(batch, line []byte) []byte {
+	if len(batch)+len(line) > asyncBatch {
+		w.write(batch)
+		batch = batch[:0]
+	}
+	return append(batch, line...)
+}
+
+func (w *AsyncWriter) write(batch []byte) {
 	if len(batch) > 0 {
 		// A log that cannot be written has nowhere to be reported.
 		_, _ = w.out.Write(batch)
--- a/internal/telemetry/async_writer_test.go
+++ b/internal/telemetry/async_writer_test.go
@@ -43,3 +43,25 @@
 		t.Errorf("got %q", out.String())
 	}
 }
+
+// wholeLines fails for writes that a pipe may tear.
+type wholeLines struct {
+	t *testing.T
+}
+
+func (w wholeLines) Write(p []byte) (int, error) {
+	if len(p) > asyncBatch || p[len(p)-1] != '\n' {
+		w.t.Errorf("a write of %d bytes", len(p))
+	}
+	return len(p), nil
+}
+
+// Guards against torn lines: the log of incident inc-f246 had lines that ended
+// inside another one, because batches were larger than a pipe takes as a whole.
+func TestAsyncWriterWritesWholeLines(t *testing.T) {
+	w := NewAsyncWriter(wholeLines{t})
+	for range 500 {
+		_, _ = w.Write([]byte(strings.Repeat("x", 99) + "\n"))
+	}
+	w.Close()
+}
