Keep calls in their region when that is well within the target; split internal/mesh

Change: placement keeps a candidate of the own region within 0.45 of the target. internal/feed and internal/split are packages of their own (internal/mesh had 25 files). Tests: internal/placement, internal/split.

--- a/internal/mesh/change.go
+++ b/internal/feed/change.go
@@ -1,4 +1,4 @@
-package mesh
+package feed
 
 import (
 	"github.com/filbertpier/filbertpier/internal/instance"
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -39,7 +39,7 @@
 	for hop := 1; hop <= maxHops; hop++ {
 		choice, ok := s.chooser.Choose(time.Now(), placement.Query{
 			Candidates: s.cfg.Directory.Service(q.service.Selector), Zone: s.cfg.Zone, Region: s.cfg.Region, LocalAddr: s.cfg.UpstreamAddr,
-			Order: q.rank.Order, Bytes: s.sizes.shard(q.route.Name).get(q.route.Name), Exclude: tried, Rand: q.rng,
+			Order: q.rank.Order, Target: time.Until(q.due), Bytes: s.sizes.Get(q.route.Name), Exclude: tried, Rand: q.rng,
 		})
 		if !ok {
 			if last == nil {
@@ -111,7 +111,7 @@
 		s.chooser.ObserveDistance(to.Zone, total-res.stayed)
 	}
 	if res.kind == ResultAnswered {
-		s.sizes.shard(q.route.Name).observe(q.route.Name, len(q.body)+len(res.body))
+		s.sizes.Observe(q.route.Name, len(q.body)+len(res.body))
 	}
 	s.cfg.Metrics.Attempts.WithLabelValues(to.Service, res.kind.String(), string(res.reason)).Inc()
 	s.logAttempt(q, choice, res, total)
--- a/internal/mesh/read.go
+++ b/internal/mesh/read.go
@@ -38,7 +38,7 @@
 	}
 	q.route = route
 	q.rank, _ = snap.Document.Rank(route.Rank)
-	q.service, _ = snap.Document.Service(s.splits.choose(route))
+	q.service, _ = snap.Document.Service(s.splits.Choose(route))
 	q.deadline = q.arrived.Add(s.timeLeft(r, route.TimeoutMs))
 	q.due = q.arrived.Add(target(route, q.rank))
 	if limit := snap.Document.CallerLimits().MaxBodyBytes; limit > 0 && r.ContentLength > limit {
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -9,6 +9,7 @@
 	"github.com/filbertpier/filbertpier/internal/httpconn"
 	"github.com/filbertpier/filbertpier/internal/placement"
 	"github.com/filbertpier/filbertpier/internal/retry"
+	"github.com/filbertpier/filbertpier/internal/split"
 )
 
 // Server serves the callers on the VM and the other nodes. It is safe for
@@ -20,8 +21,8 @@
 	limiter  *admission.Limiter
 	upstream *httpconn.Pool
 	peers    *httpconn.Pool
-	splits   *splits
-	sizes    *sizes
+	splits   *split.Chooser
+	sizes    *placement.Sizes
 	// stopping is set once the node is unready, closing once it refuses calls.
 	stopping, closing atomic.Bool
 	// downUntil is when an upstream that refused a connection is tried again,
@@ -36,8 +37,8 @@
 		chooser: placement.NewChooser(),
 		budgets: retry.NewBudgetsWith(retry.Options{OutermostReserve: retryReserve, NestedReserve: retryReserve}),
 		limiter: admission.NewLimiter(1),
-		splits:  newSplits(),
-		sizes:   newSizes(),
+		splits:  split.NewChooser(),
+		sizes:   placement.NewSizes(),
 		upstream: httpconn.NewPool(httpconn.Options{
 			IdleTimeout: upstreamIdle, MaxIdle: 64, DialTimeout: dialTimeout, SilenceTimeout: silence,
 			EchoHeader: cfg.Names.AttemptID, LocalIP: cfg.LocalIP,
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -21,6 +21,9 @@
 	// spread randomizes expectations, so that senders with the same knowledge
 	// do not all choose the same instance.
 	spread = 0.15
+	// nearEnough is the part of the target within which an answer is expected
+	// well in time. Service times vary by a factor of two and more.
+	nearEnough = 0.45
 	// zoneKiB and regionKiB are the delay that is accepted to keep a KiB within
 	// a zone or a region.
 	zoneKiB   = time.Millisecond
@@ -46,12 +49,16 @@
 
 func (c *Chooser) shard(id string) *shard { return &c.shards[xxhash.Sum64String(id)%beliefShards] }
 
-// Choose returns the candidate with the least expected time to an answer. It
-// returns false if no candidate may get the call. For each choice the caller
-// calls Start before it sends the call and Finish when it ends.
+// Choose returns the candidate with the least expected time to an answer, or
+// one of the own region that is expected to answer well within the target: a
+// faster answer from another region would be worth nothing more, and links
+// between regions are narrow. It returns false if no candidate may get the call.
+// For each choice the caller calls Start before it sends the call and Finish
+// when it ends.
 func (c *Chooser) Choose(now time.Time, q Query) (Choice, bool) {
-	var best, resort Choice
+	var best, near, resort Choice
 	var bestCost, resortCost float64
+	nearCost := nearEnough * q.Target.Seconds()
 	usable := 0
 	for _, i := range q.Candidates {
 		if !i.Serves(now) || q.excluded(i.ID) {
@@ -68,6 +75,12 @@
 		if best.Instance == nil || cost < bestCost {
 			best, bestCost = c.choice(i, cost), cost
 		}
+		if i.Region == q.Region && cost < nearCost {
+			near, nearCost = c.choice(i, cost), cost
+		}
+	}
+	if near.Instance != nil {
+		best = near
 	}
 	if best.Instance == nil {
 		resort.LastResort = true
--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/filbertpier/filbertpier/internal/instance"
 )
@@ -15,6 +16,9 @@
 	LocalAddr string
 	// Order is the order of the call's rank.
 	Order int
+	// Target is the time in which the answer has its full worth; zero if
+	// unknown.
+	Target time.Duration
 	// Bytes is the expected size of request and answer; zero if unknown.
 	Bytes int
 	// Exclude holds the ids of instances that the call has tried.
--- /dev/null
+++ b/internal/placement/sizes.go
@@ -0,0 +1,30 @@
+package placement
+
+import "github.com/cespare/xxhash/v2"
+
+const sizeShards = 16
+
+// Sizes holds the mean size of request and answer of each route. It is safe for
+// concurrent use.
+type Sizes struct {
+	shards [sizeShards]sizeShard
+}
+
+// NewSizes returns sizes without observations.
+func NewSizes() *Sizes {
+	s := &Sizes{}
+	for i := range s.shards {
+		s.shards[i].bytes = map[string]float64{}
+	}
+	return s
+}
+
+func (s *Sizes) shard(route string) *sizeShard {
+	return &s.shards[xxhash.Sum64String(route)%sizeShards]
+}
+
+// Observe records the size of one call in bytes.
+func (s *Sizes) Observe(route string, n int) { s.shard(route).observe(route, n) }
+
+// Get returns the mean size in bytes; zero if unknown.
+func (s *Sizes) Get(route string) int { return s.shard(route).get(route) }
--- a/internal/sidecar/adapter.go
+++ b/internal/sidecar/adapter.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"github.com/filbertpier/filbertpier/internal/feed"
 	"github.com/filbertpier/filbertpier/internal/mesh"
 	"github.com/filbertpier/filbertpier/internal/replica"
 )
@@ -9,7 +10,7 @@
 type Adapter struct {
 	Names   mesh.Names
 	Source  replica.Source
-	Decoder mesh.Decoder
+	Decoder feed.Decoder
 	// ReadyPath and MetricsPath are the paths of the node's own endpoints.
 	ReadyPath, MetricsPath string
 }
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/feed"
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/mesh"
 	"github.com/filbertpier/filbertpier/internal/replica"
@@ -108,27 +109,27 @@
 
 type decoder struct{}
 
-func (decoder) Decode(now time.Time, item replica.Item) (mesh.Change, error) {
+func (decoder) Decode(now time.Time, item replica.Item) (feed.Change, error) {
 	if id, ok := strings.CutPrefix(item.Key, "up/"); ok {
 		if item.Deleted {
-			return mesh.Change{GoneID: id}, nil
+			return feed.Change{GoneID: id}, nil
 		}
 		i := &instance.Instance{}
 		if err := json.Unmarshal(item.Value, i); err != nil {
-			return mesh.Change{}, err
+			return feed.Change{}, err
 		}
 		i.Since, i.Revision = now, item.Revision
-		return mesh.Change{Instance: i}, nil
+		return feed.Change{Instance: i}, nil
 	}
 	var v version
 	if err := json.Unmarshal(item.Value, &v); err != nil {
-		return mesh.Change{}, err
+		return feed.Change{}, err
 	}
 	doc, err := config.CompileBody(v.Body)
 	if err != nil {
-		return mesh.Change{}, err
+		return feed.Change{}, err
 	}
-	return mesh.Change{Snapshot: snapshot.Published(v.Number, item.Value, doc)}, nil
+	return feed.Change{Snapshot: snapshot.Published(v.Number, item.Value, doc)}, nil
 }
 
 // body returns a document with an idempotent route /safe/ and another one,
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/filbertpier/filbertpier/internal/feed"
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/mesh"
 	"github.com/filbertpier/filbertpier/internal/replica"
@@ -35,7 +36,7 @@
 	n := &Node{settings: s, log: log, conns: newActivity()}
 	registry := prometheus.NewRegistry()
 	store, directory := snapshot.NewStore(), instance.NewDirectory()
-	applier := mesh.NewApplier(a.Decoder, store, directory, log.Named("feed"))
+	applier := feed.NewApplier(a.Decoder, store, directory, log.Named("feed"))
 	table := replica.NewTable(applier.Apply)
 	client := &peers.Client{
 		Directory: directory, Seeds: s.Seeds, Port: port(s.Listen.Control), Self: s.Listen.Control, Region: s.Region,
--- /dev/null
+++ b/internal/split/doc.go
@@ -0,0 +1,2 @@
+// Package split distributes the calls of a route among services by weight.
+package split
--- a/internal/mesh/split_shard.go
+++ b/internal/split/shard.go
@@ -1,12 +1,12 @@
-package mesh
+package split
 
 import (
 	"math/rand/v2"
 	"sync"
 )
 
-// splitShard holds the positions of some routes.
-type splitShard struct {
+// shard holds the positions of some routes.
+type shard struct {
 	// mu guards position.
 	mu       sync.Mutex
 	position map[string]float64
@@ -15,7 +15,7 @@
 // goldenStep is the fractional part of the golden ratio.
 const goldenStep = 0.6180339887498949
 
-func (s *splitShard) next(route string) float64 {
+func (s *shard) next(route string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, ok := s.position[route]
