Drop what nothing uses; say that changed settings apply at the next start

Read as a newcomer: settings of the retry budget that were passed and not used, an accessor and an outcome field without readers, a log line that promised a reload.

--- a/cmd/fpsidecar/main.go
+++ b/cmd/fpsidecar/main.go
@@ -17,14 +17,9 @@
 	"github.com/filbertpier/filbertpier/platform"
 )
 
-const (
-	// gcPercent trades memory for processor time: a node's live heap is a few
-	// megabytes.
-	gcPercent = 150
-	// memoryShare is the part of the node's memory limit from which garbage is
-	// collected more often.
-	memoryShare = 0.6
-)
+// memoryShare is the part of the node's memory limit from which garbage is
+// collected more often.
+const memoryShare = 0.6
 
 func main() {
 	app := kingpin.New("fpsidecar", "filbertpier node for VMs whose callers sit beside it.")
@@ -48,7 +43,6 @@
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
@@ -83,12 +77,12 @@
 	return platform.DecodeSettings(raw)
 }
 
-// reload checks changed settings. Addresses and the place of the VM take
-// effect at the next start.
+// reload checks changed settings, so that faults show before the restart with
+// which they take effect.
 func reload(path string, log hclog.Logger) {
 	if _, err := load(path); err != nil {
 		log.Error("changed settings refused, the old ones stay in force", "error", err.Error())
 		return
 	}
-	log.Info("settings read again")
+	log.Info("changed settings are valid and apply at the next start")
 }
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -10,9 +10,9 @@
 // Config wires a Server to its surroundings.
 type Config struct {
 	Names Names
-	// VM, Zone and Region name the node's place; Service is that of the
-	// upstream beside it.
-	VM, Zone, Region, Service string
+	// Zone and Region name the node's place; Service is that of the upstream
+	// beside it.
+	Zone, Region, Service string
 	// UpstreamAddr is the address of the upstream beside the node.
 	UpstreamAddr string
 	// PeerPort is the port on which all nodes take calls from each other.
@@ -24,10 +24,7 @@
 	// Revision returns the platform's revision that the node knows.
 	Revision func() uint64
 	// PeerAt is told the revisions that other nodes know.
-	PeerAt func(host string, at uint64)
-	// RetryRatio and RetrySlack bound the retries of the whole fleet: retries
-	// per call, and retries per budget window besides.
-	RetryRatio, RetrySlack float64
-	Log                    hclog.Logger
-	Metrics                *Metrics
+	PeerAt  func(host string, at uint64)
+	Log     hclog.Logger
+	Metrics *Metrics
 }
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -105,7 +105,7 @@
 	}
 	total := time.Since(start)
 	s.chooser.Finish(time.Now(), to, placement.Outcome{
-		Kind: outcomeKind(ctx, res), Order: q.rank.Order, Total: total, Ran: res.ran, Load: res.load, Wait: res.wait,
+		Kind: outcomeKind(ctx, res), Order: q.rank.Order, Ran: res.ran, Load: res.load, Wait: res.wait,
 	})
 	if !local && res.stayed > 0 {
 		s.chooser.ObserveDistance(to.Zone, total-res.stayed)
--- a/internal/mesh/limits.go
+++ b/internal/mesh/limits.go
@@ -28,8 +28,10 @@
 	// than the limits of the versions in use, so that callers close first.
 	CallerIdle = 75 * time.Second
 	// peerIdle is how long a connection between nodes may be idle at the
-	// sender. The receiver waits for NodeIdle, so that senders close first.
+	// sender.
 	peerIdle = 30 * time.Second
+	// NodeIdle is the same at the receiver. It is longer, so that senders close
+	// first and no call meets the close.
 	NodeIdle = 90 * time.Second
 	// upstreamIdle is the same for a connection to the upstream that names no
 	// time of its own.
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -86,6 +86,3 @@
 	s.closing.Store(true)
 	s.limiter.Drain()
 }
-
-// Load returns the running and waiting calls at the upstream.
-func (s *Server) Load() (running, waiting int) { return s.limiter.Load() }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -47,11 +47,11 @@
 	}, table)
 	applier.Unstable = n.reader.Unstable
 	n.server = mesh.NewServer(mesh.Config{
-		Names: a.Names, VM: s.VM, Zone: s.Zone, Region: s.Region, Service: s.Service,
+		Names: a.Names, Zone: s.Zone, Region: s.Region, Service: s.Service,
 		UpstreamAddr: s.Upstream, PeerPort: port(s.Listen.Nodes), LocalIP: s.LocalIP,
 		Store: store, Directory: directory, Revision: table.At,
-		PeerAt:     func(host string, at uint64) { n.reader.PeerAt(client.Addr(host), at) },
-		RetryRatio: s.RetryRatio, Log: log.Named("call"), Metrics: mesh.NewMetrics(registry),
+		PeerAt: func(host string, at uint64) { n.reader.PeerAt(client.Addr(host), at) },
+		Log:    log.Named("call"), Metrics: mesh.NewMetrics(registry),
 	})
 	if err := n.listen(a, table, registry); err != nil {
 		n.Close()
