Do not call a call not run whose kept connection broke; serve HEAD calls

Found by reading: an idempotent call was sent again when a kept connection broke, and if nobody listened then, the caller was told that it had not run although the upstream may have crashed while running it. HEAD calls failed with 502 because their answers announce a length without a body. Tests: TestCrashOnAKeptConnectionIsNotCalledNotRun (503 before), TestHeadCallKeepsTheLength (502 before).

--- a/internal/mesh/finish.go
+++ b/internal/mesh/finish.go
@@ -62,7 +62,7 @@
 func (s *Server) copyAnswer(w http.ResponseWriter, res *result) {
 	h := w.Header()
 	relay.CopyHeader(h, res.header)
-	if res.length >= 0 {
+	if res.length >= 0 && res.status != http.StatusNoContent && res.status != http.StatusNotModified {
 		h["Content-Length"] = []string{strconv.FormatInt(res.length, 10)}
 	}
 	noDefaults(h)
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -41,7 +41,7 @@
 	case err != nil:
 		return broken(brokenReason(ctx, err), err.Error())
 	}
-	res := s.parseResult(ctx, resp)
+	res := s.parseResult(ctx, q, resp)
 	if res.at > 0 {
 		s.cfg.PeerAt(host, res.at)
 	}
@@ -49,7 +49,7 @@
 }
 
 // parseResult decodes what the node beside the upstream answers.
-func (s *Server) parseResult(ctx context.Context, resp *httpconn.Response) *result {
+func (s *Server) parseResult(ctx context.Context, q *request, resp *httpconn.Response) *result {
 	kind, ok := parseResultKind(resp.Header.Get(headerResult))
 	if !ok {
 		_ = resp.Body.Close()
@@ -57,7 +57,7 @@
 	}
 	var res *result
 	if kind == ResultAnswered {
-		res = s.hold(ctx, resp)
+		res = s.hold(ctx, q, resp)
 	} else {
 		_, _ = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -113,11 +113,22 @@
 	out.Header[names.TimeLeft] = []string{strconv.FormatInt(time.Until(q.deadline).Milliseconds(), 10)}
 	out.Header[names.Expect] = []string{self.ID}
 	resp, err := s.upstream.Do(ctx, s.cfg.UpstreamAddr, out)
-	var reused *httpconn.BrokenError
-	if errors.As(err, &reused) && reused.Reused && q.idempotent() && q.rest == nil && ctx.Err() == nil {
-		// The upstream closed the idle connection as the request was sent.
-		resp, err = s.upstream.Do(ctx, s.cfg.UpstreamAddr, out)
+	var first *httpconn.BrokenError
+	if !errors.As(err, &first) || !first.Reused || !q.idempotent() || q.rest != nil || ctx.Err() != nil {
+		return s.outcome(ctx, q, resp, err)
 	}
+	// The upstream may have closed the idle connection as the request was sent.
+	// It may also have crashed while it ran the call.
+	resp, err = s.upstream.Do(ctx, s.cfg.UpstreamAddr, out)
+	res := s.outcome(ctx, q, resp, err)
+	if res.kind == ResultNotRun {
+		return broken(ReasonConnection, first.Error()+", then "+res.detail)
+	}
+	return res
+}
+
+// outcome turns the end of an exchange into a result.
+func (s *Server) outcome(ctx context.Context, q *request, resp *httpconn.Response, err error) *result {
 	if err != nil {
 		return s.failure(ctx, err)
 	}
@@ -170,7 +181,7 @@
 		_ = resp.Body.Close()
 		return broken(ReasonInvalidAnswer, fault)
 	}
-	return s.hold(ctx, resp)
+	return s.hold(ctx, q, resp)
 }
 
 // invalid returns why an answer cannot be the upstream's to this call.
@@ -188,8 +199,14 @@
 }
 
 // hold reads an answer into memory, or its beginning if it is too large.
-func (s *Server) hold(ctx context.Context, resp *httpconn.Response) *result {
+func (s *Server) hold(ctx context.Context, q *request, resp *httpconn.Response) *result {
 	res := &result{kind: ResultAnswered, status: resp.Status, header: resp.Header, length: resp.Length}
+	if q.method == http.MethodHead {
+		// The length is that of the body which the answer does not have.
+		res.length = -1
+		_ = resp.Body.Close()
+		return res
+	}
 	body, err := readHeld(resp)
 	res.body = body
 	if err != nil {
--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,3 +181,52 @@
 		t.Errorf("%d calls ran at the draining upstream", b.runs.Load()-before)
 	}
 }
+
+// Guards against calling a call not run that its upstream may have run: the
+// upstream dies with the call on a kept connection, and the second try finds
+// nobody listening.
+func TestCrashOnAKeptConnectionIsNotCalledNotRun(t *testing.T) {
+	f := newFleet(t)
+	var a *vm
+	var die atomic.Bool
+	a = f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
+		if die.Load() {
+			_ = a.upstream.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+		work(0)(w, r)
+	}).start()
+	await(t, "ready", a.ready)
+	if got := a.call("GET", "/safe/x"); got.status != http.StatusOK {
+		t.Fatalf("got %+v", got)
+	}
+	die.Store(true)
+	if got := a.call("GET", "/safe/x"); got.status != http.StatusBadGateway {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Guards against failing HEAD calls, whose answers announce a length without a
+// body.
+func TestHeadCallKeepsTheLength(t *testing.T) {
+	f := newFleet(t)
+	a := f.add("a", "z1", work(0)).start()
+	b := f.add("b", "z1", work(0)).start()
+	await(t, "ready", func() bool { return a.ready() && b.ready() })
+	for _, v := range f.vms {
+		req, err := http.NewRequest(http.MethodHead, "http://"+v.addr(1)+"/safe/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h"
+		req.Header.Set(names.AttemptID, "head-"+v.id)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || resp.ContentLength != int64(len("done /safe/x")) {
+			t.Errorf("status %d, length %d", resp.StatusCode, resp.ContentLength)
+		}
+	}
+}
