Let large answers take turns on the VM's link; refuse what it cannot send in time

Cause: on the grown deployments the VMs beside cert-archive and archive have links of 7 to 9 Mbit/s, which answers of 90 KB fill. Internal checks of the same VMs queued behind them past their time limit, their parents failed with 500, and connections were ended as silent.

Ruled out: compression between nodes (trial: bodies do not get smaller); slots (75 of 162 are used on average).

The node counts expected answers, refuses a call whose answer would be sent after it is due (link-busy), and reports its backlog, which senders add to the expected time.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -240,3 +240,9 @@
 	limits, running := g.ledger.snapshot()
 	return Report{Running: running, Waiting: int(g.waiting.Load()), Slots: limits.Slots, Draining: g.draining.Load()}
 }
+
+// ServiceTime returns how long a call of a rank is expected to run.
+func (g *Gate) ServiceTime(now time.Time, rank *config.Rank) time.Duration {
+	service, _ := g.ledger.forecast(now, g.table.Load(), g.entry(rank), 0, 0)
+	return service
+}
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/call"
 )
 
@@ -111,3 +112,8 @@
 
 // Report returns the load for answers to senders.
 func (l *Limiter) Report() Report { return l.gate.Report() }
+
+// ServiceTime returns how long a call of a rank is expected to run.
+func (l *Limiter) ServiceTime(rank *config.Rank) time.Duration {
+	return l.gate.ServiceTime(l.now(), rank)
+}
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -18,7 +18,9 @@
 	// PeerPort is the port on which all nodes take calls from each other.
 	PeerPort string
 	LocalIP  string
-	Store    *snapshot.Store
+	// LinkBytesPerSecond is the rate of the VM's link; zero if unknown.
+	LinkBytesPerSecond int
+	Store              *snapshot.Store
 	// Directory lists the upstreams.
 	Directory *instance.Directory
 	// Revision returns the platform's revision that the node knows.
--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -133,6 +133,8 @@
 	switch res.reason {
 	case ReasonShed:
 		return placement.Shed
+	case ReasonLink:
+		return placement.LinkBusy
 	case ReasonOverloaded, ReasonLate, ReasonDeadline:
 		return placement.Refused
 	}
--- a/internal/mesh/finish.go
+++ b/internal/mesh/finish.go
@@ -22,7 +22,7 @@
 	s.cfg.Metrics.CallSeconds.WithLabelValues(rank, outcome).Observe(time.Since(q.arrived).Seconds())
 	s.logCall(q, res, outcome, attempts)
 	if res.kind == ResultAnswered && res.header != nil {
-		s.copyAnswer(w, res)
+		s.copyAnswer(context.Background(), w, res)
 		return
 	}
 	if res.kind == ResultNotRun {
@@ -59,7 +59,7 @@
 
 // copyAnswer passes an upstream's answer on. An answer that ends early ends
 // the caller's connection, so that it is never taken for a whole one.
-func (s *Server) copyAnswer(w http.ResponseWriter, res *result) {
+func (s *Server) copyAnswer(ctx context.Context, w http.ResponseWriter, res *result) {
 	h := w.Header()
 	relay.CopyHeader(h, res.header)
 	if res.length >= 0 && res.status != http.StatusNoContent && res.status != http.StatusNotModified {
@@ -67,10 +67,15 @@
 	}
 	noDefaults(h)
 	w.WriteHeader(res.status)
-	if _, err := w.Write(res.body); err != nil || res.rest == nil {
-		return
+	out := io.Writer(w)
+	if res.transfer != nil {
+		out = res.transfer.Writer(ctx, w)
+	}
+	_, err := out.Write(res.body)
+	if err == nil && res.rest != nil {
+		_, err = io.Copy(out, res.rest)
 	}
-	if _, err := io.Copy(w, res.rest); err != nil {
+	if err != nil {
 		s.cfg.Log.Warn("answer ended early", "error", err.Error())
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -30,6 +30,7 @@
 	out.Header[headerAt] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
 	way := s.chooser.Distance(s.cfg.Zone, s.cfg.Region, to)
 	out.Header[headerDue] = []string{strconv.FormatInt((time.Until(q.due) - way).Milliseconds(), 10)}
+	out.Header[headerBytes] = []string{strconv.Itoa(s.sizes.Get(q.route.Name))}
 	if q.idempotent() {
 		out.Header[headerIdempotent] = []string{"1"}
 	}
@@ -77,9 +78,11 @@
 
 func parseLoad(text string) *placement.Load {
 	var l placement.Load
-	if n, _ := fmt.Sscanf(text, "%d %d %d", &l.Running, &l.Waiting, &l.Slots); n != 3 {
+	var backlogMs int64
+	if n, _ := fmt.Sscanf(text, "%d %d %d %d %d", &l.Running, &l.Waiting, &l.Slots, &backlogMs, &l.LinkRate); n != 5 {
 		return nil
 	}
+	l.Link = time.Duration(backlogMs) * time.Millisecond
 	return &l
 }
 
@@ -94,7 +97,8 @@
 func (s *Server) setResult(h http.Header, res *result) {
 	h[headerResult] = []string{res.kind.String()}
 	if res.load != nil {
-		h[call.HeaderLoad] = []string{fmt.Sprintf("%d %d %d", res.load.Running, res.load.Waiting, res.load.Slots)}
+		h[call.HeaderLoad] = []string{fmt.Sprintf("%d %d %d %d %d", res.load.Running, res.load.Waiting, res.load.Slots,
+			res.load.Link.Milliseconds(), res.load.LinkRate)}
 	}
 	h[headerTimes] = []string{strconv.FormatInt(res.ran.Microseconds(), 10) + " " + strconv.FormatInt(res.stayed.Microseconds(), 10)}
 	h[headerAt] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
--- a/internal/mesh/headers.go
+++ b/internal/mesh/headers.go
@@ -11,6 +11,8 @@
 	headerWait = "Filbertpier-Wait"
 	// headerDue holds the milliseconds until the answer loses part of its worth.
 	headerDue = "Filbertpier-Due"
+	// headerBytes holds the expected size of the answer.
+	headerBytes = "Filbertpier-Bytes"
 	// headerTimes holds the microseconds that a call ran and those that it
 	// spent at the node in all.
 	headerTimes = "Filbertpier-Times"
--- a/internal/mesh/inbound.go
+++ b/internal/mesh/inbound.go
@@ -19,7 +19,7 @@
 func (s *Server) serveInbound(w http.ResponseWriter, r *http.Request) {
 	q, refused := s.readInbound(r)
 	if refused != nil {
-		s.finishInbound(w, refused)
+		s.finishInbound(r.Context(), w, refused)
 		return
 	}
 	if at, err := strconv.ParseUint(r.Header.Get(headerAt), 10, 64); err == nil {
@@ -29,10 +29,15 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	res := s.runLocal(ctx, q, r.Header.Get(call.HeaderTarget))
+	transfer, res := s.reserveLink(q)
+	if res == nil {
+		defer transfer.Close()
+		res = s.runLocal(ctx, q, r.Header.Get(call.HeaderTarget))
+		res.transfer = transfer
+	}
 	defer res.close()
 	s.logInbound(q, res)
-	s.finishInbound(w, res)
+	s.finishInbound(ctx, w, res)
 }
 
 // readInbound decodes a call that another node has matched and placed.
@@ -47,6 +52,7 @@
 	if ms, err := strconv.ParseInt(r.Header.Get(headerDue), 10, 64); err == nil {
 		q.due = q.arrived.Add(time.Duration(ms) * time.Millisecond)
 	}
+	q.answerBytes = parseBytes(r.Header.Get(headerBytes))
 	q.header = make(http.Header, len(r.Header)+2)
 	relay.CopyHeader(q.header, r.Header)
 	return q, q.readBody(r)
@@ -63,10 +69,10 @@
 	return &config.Rank{Name: name, Order: config.MaxRankOrder}
 }
 
-func (s *Server) finishInbound(w http.ResponseWriter, res *result) {
+func (s *Server) finishInbound(ctx context.Context, w http.ResponseWriter, res *result) {
 	if res.kind == ResultAnswered {
 		s.setResult(res.header, res)
-		s.copyAnswer(w, res)
+		s.copyAnswer(ctx, w, res)
 		return
 	}
 	s.setResult(w.Header(), res)
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -23,7 +23,7 @@
 	res := s.admit(ctx, q, target)
 	res.stayed = time.Since(arrived)
 	report := s.limiter.Report()
-	res.load = &placement.Load{Running: report.Running, Waiting: report.Waiting, Slots: report.Slots}
+	res.load = &placement.Load{Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, Link: s.link.Backlog(), LinkRate: s.linkRate()}
 	s.cfg.Metrics.Admissions.WithLabelValues(res.kind.String(), string(res.reason)).Inc()
 	return res
 }
--- a/internal/mesh/reason.go
+++ b/internal/mesh/reason.go
@@ -24,4 +24,6 @@
 	ReasonBodyTooLarge   Reason = "body-too-large"
 	ReasonBodyUnreadable Reason = "body-unreadable"
 	ReasonBudget         Reason = "retry-budget"
+	// ReasonLink: the VM's link is too busy to send the answer in time.
+	ReasonLink Reason = "link-busy"
 )
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -22,6 +22,8 @@
 	// is sent once only.
 	rest   io.Reader
 	length int64
+	// answerBytes is the expected size of the answer, for calls of other nodes.
+	answerBytes int
 
 	arrived  time.Time
 	deadline time.Time
--- a/internal/mesh/result.go
+++ b/internal/mesh/result.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/placement"
+	"github.com/filbertpier/filbertpier/internal/uplink"
 )
 
 // result is how one attempt ended.
@@ -32,6 +33,8 @@
 	// ran is how long the call ran; stayed is the time from its arrival at the
 	// node beside the upstream to the end of the answer.
 	ran, stayed time.Duration
+	// transfer sends the answer on the VM's link; nil if it stays on the VM.
+	transfer *uplink.Transfer
 	// at is the platform's revision that the other node knows.
 	at uint64
 }
@@ -54,5 +57,5 @@
 // noRoom reports whether a call was refused because an upstream is busy. Another
 // busy one would refuse it too.
 func (r *result) noRoom() bool {
-	return r != nil && r.kind == ResultNotRun && (r.reason == ReasonLate || r.reason == ReasonOverloaded || r.reason == ReasonDeadline)
+	return r != nil && r.kind == ResultNotRun && (r.reason == ReasonLate || r.reason == ReasonOverloaded || r.reason == ReasonLink || r.reason == ReasonDeadline)
 }
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -10,6 +10,7 @@
 	"github.com/filbertpier/filbertpier/internal/placement"
 	"github.com/filbertpier/filbertpier/internal/retry"
 	"github.com/filbertpier/filbertpier/internal/split"
+	"github.com/filbertpier/filbertpier/internal/uplink"
 )
 
 // Server serves the callers on the VM and the other nodes. It is safe for
@@ -23,6 +24,7 @@
 	peers    *httpconn.Pool
 	splits   *split.Chooser
 	sizes    *placement.Sizes
+	link     *uplink.Link
 	// stopping is set once the node is unready, closing once it refuses calls.
 	stopping, closing atomic.Bool
 	// downUntil is when an upstream that refused a connection is tried again,
@@ -39,6 +41,7 @@
 		limiter: admission.NewLimiter(1),
 		splits:  split.NewChooser(),
 		sizes:   placement.NewSizes(),
+		link:    uplink.NewLink(float64(cfg.LinkBytesPerSecond)),
 		upstream: httpconn.NewPool(httpconn.Options{
 			IdleTimeout: upstreamIdle, MaxIdle: 64, DialTimeout: dialTimeout, SilenceTimeout: silence,
 			EchoHeader: cfg.Names.AttemptID, LocalIP: cfg.LocalIP,
--- /dev/null
+++ b/internal/mesh/uplink.go
@@ -0,0 +1,55 @@
+package mesh
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/placement"
+	"github.com/filbertpier/filbertpier/internal/uplink"
+)
+
+// lateBacklog is the backlog of the link up to which calls are still served
+// whose target cannot be met any more. Behind a longer one they would make
+// others late.
+const lateBacklog = 100 * time.Millisecond
+
+// reserveLink counts the answer of a call of another node on the VM's link. It
+// returns a refusal if the answer could not be sent in time.
+func (s *Server) reserveLink(q *request) (*uplink.Transfer, *result) {
+	if q.answerBytes <= uplink.SmallAnswer {
+		return s.link.Expect(q.answerBytes, q.due), nil
+	}
+	backlog, sending := s.link.Backlog(), s.link.Duration(q.answerBytes)
+	least := s.limiter.ServiceTime(q.rank) + sending
+	if late := lateBy(time.Now(), q, backlog, least); late > 0 {
+		res := notRun(ReasonLink, "the link is taken for "+backlog.String()+", the answer takes "+sending.String())
+		res.wait = late
+		report := s.limiter.Report()
+		res.load = &placement.Load{Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, Link: backlog, LinkRate: s.linkRate()}
+		return nil, res
+	}
+	return s.link.Expect(q.answerBytes, q.due), nil
+}
+
+// lateBy returns how much too late an answer would be sent behind a backlog. A
+// call whose target is lost is only served while the link is nearly idle.
+func lateBy(now time.Time, q *request, backlog, least time.Duration) time.Duration {
+	limit := q.due
+	if limit.IsZero() || limit.After(q.deadline) {
+		limit = q.deadline
+	}
+	if now.Add(least).After(limit) && backlog <= lateBacklog {
+		limit = q.deadline
+	}
+	return now.Add(least + backlog).Sub(limit)
+}
+
+func (s *Server) linkRate() int { return s.cfg.LinkBytesPerSecond }
+
+func parseBytes(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
--- /dev/null
+++ b/internal/mesh/uplink_test.go
@@ -0,0 +1,29 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against running calls whose large answer the VM's link cannot send in
+// time: the run and the bytes would be wasted, and the answers behind them late
+// as well.
+func TestAnswerThatTheLinkCannotSendInTimeIsRefused(t *testing.T) {
+	now := time.Now()
+	q := &request{due: now.Add(time.Second), deadline: now.Add(4 * time.Second)}
+	for _, c := range []struct {
+		name           string
+		backlog, least time.Duration
+		late           bool
+	}{
+		{"fits", 500 * time.Millisecond, 400 * time.Millisecond, false},
+		{"late behind the backlog", 700 * time.Millisecond, 400 * time.Millisecond, true},
+		{"target lost, idle link", 50 * time.Millisecond, 2 * time.Second, false},
+		{"target lost, busy link", 600 * time.Millisecond, 2 * time.Second, true},
+		{"after the deadline", 50 * time.Millisecond, 4 * time.Second, true},
+	} {
+		if got := lateBy(now, q, c.backlog, c.least) > 0; got != c.late {
+			t.Errorf("%s: refused %v, want %v", c.name, got, c.late)
+		}
+	}
+}
--- a/internal/placement/belief.go
+++ b/internal/placement/belief.go
@@ -80,7 +80,7 @@
 		b.observeFailure(now, 1)
 		b.inARow++
 		b.outUntil = now.Add(min(outFirst<<min(b.inARow-1, 8), outMax))
-	case Canceled:
+	case Canceled, LinkBusy:
 	}
 }
 
@@ -135,3 +135,13 @@
 func fade(age, halfLife time.Duration) float64 {
 	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
 }
+
+// sending returns the time in seconds that an answer of some bytes is expected
+// to wait for the VM's link and to take on it.
+func (b *belief) sending(now time.Time, bytes int) float64 {
+	if b.load.LinkRate <= 0 {
+		return 0
+	}
+	backlog := max(b.load.Link-now.Sub(b.loadAt), 0)
+	return backlog.Seconds() + float64(bytes)/float64(b.load.LinkRate)
+}
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -24,6 +24,8 @@
 	// nearEnough is the part of the target within which an answer is expected
 	// well in time. Service times vary by a factor of two and more.
 	nearEnough = 0.45
+	// linkBytes is the size up to which answers do not queue for a link.
+	linkBytes = 16 << 10
 	// zoneKiB and regionKiB are the delay that is accepted to keep a KiB within
 	// a zone or a region.
 	zoneKiB   = time.Millisecond
@@ -108,6 +110,9 @@
 		}
 		cost = b.expected(now, q.Order, i.Slots, service)
 		open = !now.Before(b.outUntil)
+		if i.Addr != q.LocalAddr && q.Bytes > linkBytes {
+			cost += b.sending(now, q.Bytes)
+		}
 		busy = b.busyUntil[rankClass(q.Order)].Sub(now)
 	})
 	if busy > 0 {
--- a/internal/placement/kind.go
+++ b/internal/placement/kind.go
@@ -11,6 +11,9 @@
 	FailedAnswer
 	// Refused: the instance's node has no room for the call.
 	Refused
+	// LinkBusy: the link of the instance's VM is too busy for the answer; calls
+	// with small answers are not concerned.
+	LinkBusy
 	// Shed: the instance itself refused the call.
 	Shed
 	// Unreachable: the instance or its node could not be reached, or leaves.
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -34,6 +34,8 @@
 	RetryRatio float64 `json:"retryRatio" validate:"min=0,max=1"`
 	// StopTime is how long a stopping node may take before it is killed.
 	StopTime time.Duration `json:"stopTime" validate:"min=1000000000"`
+	// LinkBytesPerSecond is the rate of the VM's link; zero if unknown.
+	LinkBytesPerSecond int `json:"linkBytesPerSecond" validate:"min=0"`
 	// MemoryBytes is the node's memory limit; zero if it has none.
 	MemoryBytes int64 `json:"memoryBytes" validate:"min=0"`
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -49,7 +49,8 @@
 	n.server = mesh.NewServer(mesh.Config{
 		Names: a.Names, Zone: s.Zone, Region: s.Region, Service: s.Service,
 		UpstreamAddr: s.Upstream, PeerPort: port(s.Listen.Nodes), LocalIP: s.LocalIP,
-		Store: store, Directory: directory, Revision: table.At,
+		LinkBytesPerSecond: s.LinkBytesPerSecond,
+		Store:              store, Directory: directory, Revision: table.At,
 		PeerAt: func(host string, at uint64) { n.reader.PeerAt(client.Addr(host), at) },
 		Log:    log.Named("call"), Metrics: mesh.NewMetrics(registry),
 	})
