Count answers to callers on the VM's link too

Change: the entry reserves the link for the answer to its caller and refuses at once what cannot be sent in time. Test TestCallsThatDoNotFitTheLinkAreRefused fails without it (12 served).

--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -17,14 +17,26 @@
 func (s *Server) serveEntry(w http.ResponseWriter, r *http.Request) {
 	q, refused := s.read(w, r)
 	if refused != nil {
-		s.finishEntry(w, q, refused, 0)
+		s.finishEntry(r.Context(), w, q, refused, 0)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	res, attempts := s.serve(ctx, q)
+	res, attempts := s.serveReserved(ctx, q)
 	defer res.close()
-	s.finishEntry(w, q, res, attempts)
+	s.finishEntry(ctx, w, q, res, attempts)
+}
+
+// serveReserved serves a call if the VM's link can carry its answer in time.
+func (s *Server) serveReserved(ctx context.Context, q *request) (*result, int) {
+	q.answerBytes = s.sizes.Get(q.route.Name)
+	transfer, refused := s.reserveLink(q, s.chooser.Typical(q.service.Name, q.rank.Order))
+	if refused != nil {
+		return refused, 0
+	}
+	res, attempts := s.serve(ctx, q)
+	res.transfer = transfer
+	return res, attempts
 }
 
 // serve offers a call to instances, one after another, until one answers or no
--- a/internal/mesh/finish.go
+++ b/internal/mesh/finish.go
@@ -12,7 +12,7 @@
 )
 
 // finishEntry answers the caller.
-func (s *Server) finishEntry(w http.ResponseWriter, q *request, res *result, attempts int) {
+func (s *Server) finishEntry(ctx context.Context, w http.ResponseWriter, q *request, res *result, attempts int) {
 	outcome := outcomeOf(res)
 	rank := ""
 	if q.rank != nil {
@@ -22,7 +22,7 @@
 	s.cfg.Metrics.CallSeconds.WithLabelValues(rank, outcome).Observe(time.Since(q.arrived).Seconds())
 	s.logCall(q, res, outcome, attempts)
 	if res.kind == ResultAnswered && res.header != nil {
-		s.copyAnswer(context.Background(), w, res)
+		s.copyAnswer(ctx, w, res)
 		return
 	}
 	if res.kind == ResultNotRun {
--- a/internal/mesh/inbound.go
+++ b/internal/mesh/inbound.go
@@ -29,9 +29,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	transfer, res := s.reserveLink(q)
+	transfer, res := s.reserveLink(q, s.limiter.ServiceTime(q.rank))
 	if res == nil {
-		defer transfer.Close()
 		res = s.runLocal(ctx, q, r.Header.Get(call.HeaderTarget))
 		res.transfer = transfer
 	}
--- a/internal/mesh/result.go
+++ b/internal/mesh/result.go
@@ -33,7 +33,7 @@
 	// ran is how long the call ran; stayed is the time from its arrival at the
 	// node beside the upstream to the end of the answer.
 	ran, stayed time.Duration
-	// transfer sends the answer on the VM's link; nil if it stays on the VM.
+	// transfer sends the answer on the VM's link; nil if none was reserved.
 	transfer *uplink.Transfer
 	// at is the platform's revision that the other node knows.
 	at uint64
@@ -49,6 +49,9 @@
 
 // close ends what is left of the answer.
 func (r *result) close() {
+	if r.transfer != nil {
+		r.transfer.Close()
+	}
 	if r.rest != nil {
 		_ = r.rest.Close()
 	}
--- a/internal/mesh/uplink.go
+++ b/internal/mesh/uplink.go
@@ -13,14 +13,15 @@
 // others late.
 const lateBacklog = 100 * time.Millisecond
 
-// reserveLink counts the answer of a call of another node on the VM's link. It
-// returns a refusal if the answer could not be sent in time.
-func (s *Server) reserveLink(q *request) (*uplink.Transfer, *result) {
+// reserveLink counts the answer of a call on the VM's link, which carries
+// answers to callers and to other nodes. It returns a refusal if the answer,
+// which takes some service time to make, could not be sent in time.
+func (s *Server) reserveLink(q *request, service time.Duration) (*uplink.Transfer, *result) {
 	if q.answerBytes <= uplink.SmallAnswer {
 		return s.link.Expect(q.answerBytes, q.due), nil
 	}
 	backlog, sending := s.link.Backlog(), s.link.Duration(q.answerBytes)
-	least := s.limiter.ServiceTime(q.rank) + sending
+	least := service + sending
 	if late := lateBy(time.Now(), q, backlog, least); late > 0 {
 		res := notRun(ReasonLink, "the link is taken for "+backlog.String()+", the answer takes "+sending.String())
 		res.wait = late
--- /dev/null
+++ b/internal/sidecar/uplink_test.go
@@ -0,0 +1,54 @@
+package sidecar_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against large answers to callers that are promised although the VM's
+// link cannot send them in time: all of them would be late, and small answers
+// behind them too. What does not fit is refused at once and does not run.
+func TestCallsThatDoNotFitTheLinkAreRefused(t *testing.T) {
+	const size = 60_000
+	f := newFleet(t)
+	a := f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	})
+	a.settings.LinkBytesPerSecond = 200_000
+	a.start()
+	await(t, "ready", a.ready)
+	if got := a.call("GET", "/safe/learn"); got.status != http.StatusOK || len(got.body) != size {
+		t.Fatalf("status %d, %d bytes, %v", got.status, len(got.body), got.err)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	served, refused := 0, 0
+	began := time.Now()
+	for range 12 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			got := a.call("GET", "/safe/x")
+			took := time.Since(began)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case got.status == http.StatusOK && len(got.body) == size:
+				served++
+			case got.status == http.StatusServiceUnavailable && got.retryAfter != "" && took < 300*time.Millisecond:
+				refused++
+			default:
+				t.Errorf("status %d, %d bytes, %v after %s", got.status, len(got.body), got.err, took)
+			}
+		}()
+	}
+	wg.Wait()
+	// One second of the link carries three answers.
+	if served < 1 || served > 4 || a.runs.Load() != int64(served)+1 {
+		t.Errorf("%d served, %d refused, %d runs", served, refused, a.runs.Load())
+	}
+}
