--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -28,9 +28,9 @@
 	out.Header[call.HeaderTarget] = []string{to.ID}
 	out.Header[call.HeaderRank] = []string{q.rank.Name}
 	out.Header[headerAt] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
-	way := s.chooser.Distance(s.cfg.Zone, s.cfg.Region, to)
-	out.Header[headerDue] = []string{strconv.FormatInt((time.Until(q.due) - way).Milliseconds(), 10)}
-	out.Header[headerBytes] = []string{strconv.Itoa(s.sizes.Get(q.route.Name))}
+	after := s.chooser.Distance(s.cfg.Zone, s.cfg.Region, to) + s.link.Duration(q.answerBytes)
+	out.Header[headerDue] = []string{strconv.FormatInt((time.Until(q.due) - after).Milliseconds(), 10)}
+	out.Header[headerBytes] = []string{strconv.Itoa(q.answerBytes)}
 	if q.idempotent() {
 		out.Header[headerIdempotent] = []string{"1"}
 	}
--- a/internal/mesh/inbound.go
+++ b/internal/mesh/inbound.go
@@ -33,6 +33,9 @@
 	if res == nil {
 		res = s.runLocal(ctx, q, r.Header.Get(call.HeaderTarget))
 		res.transfer = transfer
+		if res.kind == ResultAnswered {
+			s.served.Observe(q.rank.Name, len(res.body))
+		}
 	}
 	defer res.close()
 	s.logInbound(q, res)
@@ -52,6 +55,10 @@
 		q.due = q.arrived.Add(time.Duration(ms) * time.Millisecond)
 	}
 	q.answerBytes = parseBytes(r.Header.Get(headerBytes))
+	if q.answerBytes == 0 {
+		// The sender has seen no answer of the route yet.
+		q.answerBytes = s.served.Get(q.rank.Name)
+	}
 	q.header = make(http.Header, len(r.Header)+2)
 	relay.CopyHeader(q.header, r.Header)
 	return q, q.readBody(r)
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -23,8 +23,10 @@
 	upstream *httpconn.Pool
 	peers    *httpconn.Pool
 	splits   *split.Chooser
-	sizes    *placement.Sizes
-	link     *uplink.Link
+	// sizes holds the sizes of calls by route, served those of the answers to
+	// other nodes by rank.
+	sizes, served *placement.Sizes
+	link          *uplink.Link
 	// stopping is set once the node is unready, closing once it refuses calls.
 	stopping, closing atomic.Bool
 	// downUntil is when an upstream that refused a connection is tried again,
@@ -41,6 +43,7 @@
 		limiter: admission.NewLimiter(1),
 		splits:  split.NewChooser(),
 		sizes:   placement.NewSizes(),
+		served:  placement.NewSizes(),
 		link:    uplink.NewLink(float64(cfg.LinkBytesPerSecond)),
 		upstream: httpconn.NewPool(httpconn.Options{
 			IdleTimeout: upstreamIdle, MaxIdle: 64, DialTimeout: dialTimeout, SilenceTimeout: silence,
--- a/internal/mesh/uplink.go
+++ b/internal/mesh/uplink.go
@@ -8,6 +8,11 @@
 	"github.com/filbertpier/filbertpier/internal/uplink"
 )
 
+// linkShare is the part of the time until an answer is due that may be planned
+// for making and sending it. Sizes and service times vary by a factor of two,
+// and the link is as busy with a short backlog as with a long one.
+const linkShare = 0.7
+
 // lateBacklog is the backlog of the link up to which calls are still served
 // whose target cannot be met any more. Behind a longer one they would make
 // others late.
@@ -21,8 +26,7 @@
 		return s.link.Expect(q.answerBytes, q.due), nil
 	}
 	backlog, sending := s.link.Backlog(), s.link.Duration(q.answerBytes)
-	least := service + sending
-	if late := lateBy(time.Now(), q, backlog, least); late > 0 {
+	if late := lateBy(time.Now(), q, backlog, service, sending); late > 0 {
 		res := notRun(ReasonLink, "the link is taken for "+backlog.String()+", the answer takes "+sending.String())
 		res.wait = late
 		report := s.limiter.Report()
@@ -32,17 +36,19 @@
 	return s.link.Expect(q.answerBytes, q.due), nil
 }
 
-// lateBy returns how much too late an answer would be sent behind a backlog. A
-// call whose target is lost is only served while the link is nearly idle.
-func lateBy(now time.Time, q *request, backlog, least time.Duration) time.Duration {
+// lateBy returns how much too late an answer would be sent behind a backlog,
+// which the link works off while the answer is made. A call whose target is
+// lost is only served while the link is nearly idle.
+func lateBy(now time.Time, q *request, backlog, service, sending time.Duration) time.Duration {
+	took := max(backlog, service) + sending
+	if backlog <= lateBacklog {
+		return took - q.deadline.Sub(now)
+	}
 	limit := q.due
 	if limit.IsZero() || limit.After(q.deadline) {
 		limit = q.deadline
 	}
-	if now.Add(least).After(limit) && backlog <= lateBacklog {
-		limit = q.deadline
-	}
-	return now.Add(least + backlog).Sub(limit)
+	return took - time.Duration(linkShare*float64(limit.Sub(now)))
 }
 
 func (s *Server) linkRate() int { return s.cfg.LinkBytesPerSecond }
--- a/internal/mesh/uplink_test.go
+++ b/internal/mesh/uplink_test.go
@@ -12,17 +12,18 @@
 	now := time.Now()
 	q := &request{due: now.Add(time.Second), deadline: now.Add(4 * time.Second)}
 	for _, c := range []struct {
-		name           string
-		backlog, least time.Duration
-		late           bool
+		name                      string
+		backlog, service, sending time.Duration
+		late                      bool
 	}{
-		{"fits", 500 * time.Millisecond, 400 * time.Millisecond, false},
-		{"late behind the backlog", 700 * time.Millisecond, 400 * time.Millisecond, true},
-		{"target lost, idle link", 50 * time.Millisecond, 2 * time.Second, false},
-		{"target lost, busy link", 600 * time.Millisecond, 2 * time.Second, true},
-		{"after the deadline", 50 * time.Millisecond, 4 * time.Second, true},
+		{"fits", 500 * time.Millisecond, 400 * time.Millisecond, 100 * time.Millisecond, false},
+		{"late behind the backlog", 900 * time.Millisecond, 400 * time.Millisecond, 200 * time.Millisecond, true},
+		{"late if it takes a little longer than usual", 600 * time.Millisecond, 400 * time.Millisecond, 200 * time.Millisecond, true},
+		{"target lost, idle link", 50 * time.Millisecond, 2 * time.Second, 100 * time.Millisecond, false},
+		{"target lost, busy link", 600 * time.Millisecond, 2 * time.Second, 100 * time.Millisecond, true},
+		{"after the deadline", 50 * time.Millisecond, 4 * time.Second, 100 * time.Millisecond, true},
 	} {
-		if got := lateBy(now, q, c.backlog, c.least) > 0; got != c.late {
+		if got := lateBy(now, q, c.backlog, c.service, c.sending) > 0; got != c.late {
 			t.Errorf("%s: refused %v, want %v", c.name, got, c.late)
 		}
 	}
