--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -94,7 +94,7 @@
 	d := s.budgets.Decide(time.Now(), retry.Attempt{
 		Service: q.service.Name, Policy: policy, Made: max(ran, 1), Ran: outcome,
 		Transparent: res.kind == ResultNotRun && !res.reached,
-		Idempotent:  q.idempotent(), Replayable: true, Deadline: q.deadline,
+		Order:       q.rank.Order, Idempotent: q.idempotent(), Replayable: true, Deadline: q.deadline,
 	}, q.rng)
 	s.cfg.Metrics.Retries.WithLabelValues(q.service.Name, string(d.Reason)).Inc()
 	if !d.Retry {
--- a/internal/retry/attempt.go
+++ b/internal/retry/attempt.go
@@ -23,6 +23,8 @@
 	Idempotent bool
 	// Replayable is set if the request can be sent again in full.
 	Replayable bool
+	// Order is the order of the call's rank; zero is the most urgent.
+	Order int
 	// Depth counts the calls that led to this one.
 	Depth int
 	// WithinRetry is set if a call above this one is itself a retry.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,6 +13,10 @@
 type budget struct {
 	tokens [call.MaxDepth + 1]float64
 	at     [call.MaxDepth + 1]time.Time
+	// urgent is the most urgent order that asked for a token lately, at
+	// urgentAt.
+	urgent   int
+	urgentAt time.Time
 	// options is read-only.
 	options Options
 }
@@ -32,6 +36,28 @@
 	halfLife = time.Second
 )
 
+// urgentMemory is how long less urgent calls leave tokens to urgent ones.
+const urgentMemory = time.Second
+
+// take takes a token. Calls that are less urgent than others which asked lately
+// leave one token to these: each node earns a few tokens a second only, and in
+// a shortage the less urgent calls would spend half of them.
+func (b *budget) take(now time.Time, depth, order int) bool {
+	if order <= b.urgent || now.Sub(b.urgentAt) > urgentMemory {
+		b.urgent, b.urgentAt = order, now
+	}
+	needed := 1.0
+	if order > b.urgent {
+		needed = 2
+	}
+	tokens := b.account(now, depth)
+	if *tokens < needed {
+		return false
+	}
+	*tokens--
+	return true
+}
+
 func (b *budget) account(now time.Time, depth int) *float64 {
 	depth = min(max(depth, 0), call.MaxDepth)
 	reserve := b.options.NestedReserve
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -59,7 +59,7 @@
 	if !a.Deadline.IsZero() && now.Add(delay+a.Expected).After(a.Deadline) {
 		return Decision{Reason: ReasonDeadline}
 	}
-	if !a.Transparent && !b.take(now, a.Service, a.Depth) {
+	if !a.Transparent && !b.take(now, &a) {
 		return Decision{Reason: ReasonBudget}
 	}
 	reason := ReasonIdempotent
@@ -69,16 +69,11 @@
 	return Decision{Retry: true, Delay: delay, Reason: reason}
 }
 
-func (b *Budgets) take(now time.Time, service string, depth int) bool {
-	s := b.shard(service)
+func (b *Budgets) take(now time.Time, a *Attempt) bool {
+	s := b.shard(a.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	tokens := s.get(service).account(now, depth)
-	if *tokens < 1 {
-		return false
-	}
-	*tokens--
-	return true
+	return s.get(a.Service).take(now, a.Depth, a.Order)
 }
 
 // forbidden returns why the call must not be tried again, or "". A nested call
--- a/internal/retry/budgets_test.go
+++ b/internal/retry/budgets_test.go
@@ -103,7 +103,7 @@
 		b.Record(start, "s", policy, 0, false)
 	}
 	later, idle := start.Add(time.Hour), 0
-	for b.take(later, "s", 0) {
+	for b.take(later, &Attempt{Service: "s"}) {
 		idle++
 	}
 	if idle != outermostReserve {
