Answer callers whose calls outlast the stop of their node

Change: 0.4 s before the node ends, calls in flight get 502 (they may have run). Test TestStopAnswersCallsThatOutlastIt failed with closed connections.

--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -24,11 +24,23 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	res, attempts := s.serveReserved(ctx, q)
+	res, attempts := s.serveUntilAbandoned(ctx, cancel, q)
 	defer res.close()
 	s.finishEntry(ctx, w, q, res, attempts)
 }
 
+// serveUntilAbandoned serves a call unless the node stops waiting for it, which
+// ends the call's context.
+func (s *Server) serveUntilAbandoned(ctx context.Context, cancel func(), q *request) (*result, int) {
+	stop := context.AfterFunc(s.abandoned, cancel)
+	defer stop()
+	res, attempts := s.serveReserved(ctx, q)
+	if res.reason == ReasonCallerLeft && s.abandoned.Err() != nil {
+		res.reason = ReasonLeaving
+	}
+	return res, attempts
+}
+
 // serveReserved serves a call if the VM's link can carry its answer in time.
 func (s *Server) serveReserved(ctx context.Context, q *request) (*result, int) {
 	q.answerBytes = s.sizes.Get(q.route.Name)
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -31,6 +31,9 @@
 	// background ends with Run; probes of lost nodes use it.
 	background    context.Context
 	endBackground context.CancelFunc
+	// abandoned ends when no call is waited for any longer.
+	abandoned context.Context
+	abandon   context.CancelFunc
 	// stopping is set once the node is unready, closing once it refuses calls.
 	stopping, closing atomic.Bool
 	// downUntil is when an upstream that refused a connection is tried again,
@@ -58,6 +61,7 @@
 		}),
 	}
 	s.background, s.endBackground = context.WithCancel(context.Background())
+	s.abandoned, s.abandon = context.WithCancel(context.Background())
 	s.prober = newProber(s.peers.Warm)
 	return s
 }
@@ -94,6 +98,10 @@
 // Stop makes the node unready. Calls are served as before.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// Abandon gives the calls of callers that are still in flight their last
+// answer. Answers that are being sent go on.
+func (s *Server) Abandon() { s.abandon() }
+
 // Drain refuses all calls from now on and closes the connections on which they
 // come. Calls in flight finish.
 func (s *Server) Drain() {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -12,13 +12,16 @@
 	noticeShare = 0.5
 	// spareShare is the part of the stop time that is left unused at its end.
 	spareShare = 0.05
+	// abandonTime is the end of the stop time in which callers get their last
+	// answers.
+	abandonTime = 250 * time.Millisecond
 	// settle is how long the answers of refused calls may take to be sent.
 	settle = 150 * time.Millisecond
 )
 
 // Stop makes the node unready and serves until callers had time to leave. Then
 // it refuses new calls, since some callers keep coming, waits for the calls in
-// flight and ends the node within its stop time.
+// flight, gives those that take too long an answer of its own and ends the node within its stop time.
 func (n *Node) Stop() {
 	began := time.Now()
 	n.server.Stop()
@@ -27,7 +30,11 @@
 	<-timer.C
 	n.server.Drain()
 	rest := total - time.Since(began) - time.Duration(spareShare*float64(total)) - settle
-	idle := n.conns.await(rest)
+	idle := n.conns.await(rest - abandonTime)
+	if !idle {
+		n.server.Abandon()
+		n.conns.await(abandonTime)
+	}
 	n.shutdown()
 	n.log.Info("node stopped", "idle", idle, "after_ms", time.Since(began).Milliseconds())
 	n.Close()
