Add the fault soak: real nodes under randomized faults from outside

tools/faultsoak runs fpsidecar as separate processes on loopback. Faults: signals (stop, reload, kill, pause), connections between nodes and to the store that fall silent, answer one way or are reset, a store that is down, slow or forgetful, upstreams that crash, leave, lose, cut, shed or slow answers, and versions in quick succession.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: build format vet staticcheck test soak demo bench-call bench-flood bench-convergence bench-capacity plots clean
+.PHONY: build format vet staticcheck test soak fault-soak demo bench-call bench-flood bench-convergence bench-capacity plots clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./tools/...
@@ -32,6 +32,12 @@
 soak:
 	SOAK_STEPS=$(STEPS) go test -run TestSoak -timeout 20m ./internal/testkit/virtual/ -v -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
+# fault-soak runs the real programs under randomized faults from outside. SEED=0
+# picks one; the last line counts violations.
+SEEDS := 10
+fault-soak: build
+	$(BIN)/faultsoak --bin $(BIN) --seeds $(SEEDS) --seed $(SEED)
+
 demo: build
 	$(BIN)/demo --bin $(BIN)
 
--- a/internal/standin/link/forwarder.go
+++ b/internal/standin/link/forwarder.go
@@ -17,8 +17,10 @@
 	listener net.Listener
 	target   string
 	delay    Delay
-	silent   atomic.Bool
-	wg       sync.WaitGroup
+	// silentIn and silentOut swallow the data of one direction: towards the
+	// target and back.
+	silentIn, silentOut atomic.Bool
+	wg                  sync.WaitGroup
 	// mu guards conns and closed.
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
@@ -43,7 +45,13 @@
 
 // Silence makes open connections swallow all data, in both directions, while
 // it is set; they stay open.
-func (f *Forwarder) Silence(on bool) { f.silent.Store(on) }
+func (f *Forwarder) Silence(on bool) {
+	f.silentIn.Store(on)
+	f.silentOut.Store(on)
+}
+
+// SilenceAnswers makes open connections swallow the data that comes back.
+func (f *Forwarder) SilenceAnswers(on bool) { f.silentOut.Store(on) }
 
 // Cut closes the open connections; new ones work.
 func (f *Forwarder) Cut() {
@@ -92,8 +100,8 @@
 	defer f.untrack(in, out)
 	var both sync.WaitGroup
 	both.Add(2)
-	go func() { defer both.Done(); f.pipe(out, in, delay) }()
-	go func() { defer both.Done(); f.pipe(in, out, delay) }()
+	go func() { defer both.Done(); f.pipe(out, in, delay, &f.silentIn) }()
+	go func() { defer both.Done(); f.pipe(in, out, delay, &f.silentOut) }()
 	both.Wait()
 }
 
@@ -120,7 +128,7 @@
 }
 
 // pipe copies one direction with a delay.
-func (f *Forwarder) pipe(dst, src net.Conn, delay time.Duration) {
+func (f *Forwarder) pipe(dst, src net.Conn, delay time.Duration, silent *atomic.Bool) {
 	queue := make(chan chunk, queueChunks)
 	done := make(chan struct{})
 	go func() {
@@ -130,7 +138,7 @@
 				t := time.NewTimer(wait)
 				<-t.C
 			}
-			if f.silent.Load() {
+			if silent.Load() {
 				continue
 			}
 			if _, err := dst.Write(c.data); err != nil {
--- /dev/null
+++ b/tools/faultsoak/ledger_shard.go
@@ -0,0 +1,21 @@
+package main
+
+import "sync"
+
+// ledgerShard holds what is known of some attempts.
+type ledgerShard struct {
+	// mu guards byID.
+	mu   sync.Mutex
+	byID map[string]*attempt
+}
+
+func (s *ledgerShard) with(id string, f func(*attempt)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.byID[id]
+	if a == nil {
+		a = &attempt{}
+		s.byID[id] = a
+	}
+	f(a)
+}
--- a/tools/fleet/process.go
+++ b/tools/fleet/process.go
@@ -22,16 +22,23 @@
 }
 
 func start(bin, program, name string, stdin []byte, args ...string) (*Process, error) {
-	cmd := exec.Command(filepath.Join(bin, program), args...)
-	p := &Process{name: name, cmd: cmd, done: make(chan struct{}), Log: &LogBuffer{}}
-	if stdin != nil {
-		cmd.Stdin = bytes.NewReader(stdin)
+	return Launch(Launcher{Bin: bin, Program: program, Name: name, Stdin: stdin, Args: args, Stdout: io.Discard})
+}
+
+// Launch starts a process that ends with its parent. It returns a
+// *LaunchError.
+func Launch(l Launcher) (*Process, error) {
+	cmd := exec.Command(filepath.Join(l.Bin, l.Program), l.Args...)
+	p := &Process{name: l.Name, cmd: cmd, done: make(chan struct{}), Log: &LogBuffer{}}
+	if l.Stdin != nil {
+		cmd.Stdin = bytes.NewReader(l.Stdin)
 	}
-	cmd.Stdout = io.Discard
+	cmd.Env = append(os.Environ(), l.Env...)
+	cmd.Stdout = l.Stdout
 	cmd.Stderr = p.Log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
-		return nil, &LaunchError{Process: name, Err: err}
+		return nil, &LaunchError{Process: l.Name, Err: err}
 	}
 	go func() {
 		defer close(p.done)
