Read the platform's revision without a lock; one error for listeners, one constructor of requests

Behaviour is unchanged but for the lock: each call reads the revision, and a large version is applied under the lock that it waited for.

--- a/internal/mesh/finish.go
+++ b/internal/mesh/finish.go
@@ -26,7 +26,7 @@
 		return
 	}
 	if res.kind == ResultNotRun {
-		w.Header()["Retry-After"] = []string{retryAfter(q, res)}
+		w.Header()["Retry-After"] = []string{retryAfter(res)}
 	}
 	writeStatus(w, statusOf(res))
 }
@@ -100,7 +100,7 @@
 // retryAfter tells a refused caller when the upstreams are expected to have
 // room, spread over half of that time more, so that the callers that were
 // refused together do not return together.
-func retryAfter(q *request, res *result) string {
+func retryAfter(res *result) string {
 	wait := min(max(res.wait, minRetryAfter), maxRetryAfter)
 	wait += rand.N(wait/2 + 1)
 	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
--- a/internal/mesh/inbound.go
+++ b/internal/mesh/inbound.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,10 +43,7 @@
 
 // readInbound decodes a call that another node has matched and placed.
 func (s *Server) readInbound(r *http.Request) (*request, *result) {
-	q := &request{
-		id: r.Header.Get(s.cfg.Names.AttemptID), method: r.Method, target: r.URL.RequestURI(), host: r.Host,
-		arrived: time.Now(), length: r.ContentLength, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
+	q := newRequest(r, s.cfg.Names)
 	q.route = &config.Route{Idempotent: r.Header.Get(headerIdempotent) != ""}
 	q.rank = s.rank(r.Header.Get(call.HeaderRank))
 	q.deadline = q.arrived.Add(s.timeLeft(r, config.MaxTimeoutMs))
--- a/internal/mesh/read.go
+++ b/internal/mesh/read.go
@@ -2,9 +2,9 @@
 
 import (
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/filbertpier/filbertpier/config"
@@ -15,11 +15,7 @@
 // read decodes a caller's request and matches its route. The result is not nil
 // if the call is refused; the request holds what is known then.
 func (s *Server) read(w http.ResponseWriter, r *http.Request) (*request, *result) {
-	names := s.cfg.Names
-	q := &request{
-		id: r.Header.Get(names.AttemptID), method: r.Method, target: r.URL.RequestURI(), host: r.Host,
-		arrived: time.Now(), length: r.ContentLength, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
+	q := newRequest(r, s.cfg.Names)
 	if s.closing.Load() {
 		w.Header()["Connection"] = []string{"close"}
 		res := notRun(ReasonLeaving, "")
@@ -47,7 +43,7 @@
 	q.header = make(http.Header, len(r.Header)+2)
 	relay.CopyHeader(q.header, r.Header)
 	deleteInternal(q.header)
-	q.header[names.Caller] = []string{s.cfg.Service}
+	q.header[s.cfg.Names.Caller] = []string{s.cfg.Service}
 	return q, q.readBody(r)
 }
 
@@ -91,7 +87,7 @@
 // deleteInternal drops the headers that only nodes may set.
 func deleteInternal(h http.Header) {
 	for name := range h {
-		if len(name) > len(call.HeaderPrefix) && name[:len(call.HeaderPrefix)] == call.HeaderPrefix {
+		if strings.HasPrefix(name, call.HeaderPrefix) {
 			delete(h, name)
 		}
 	}
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -37,6 +37,14 @@
 	rng      *rand.Rand
 }
 
+// newRequest decodes what callers' and nodes' requests have in common.
+func newRequest(r *http.Request, names Names) *request {
+	return &request{
+		id: r.Header.Get(names.AttemptID), method: r.Method, target: r.URL.RequestURI(), host: r.Host,
+		arrived: time.Now(), length: r.ContentLength, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
 // outgoing returns the request as it is sent on, with a header of its own.
 func (q *request) outgoing() *httpconn.Request {
 	return &httpconn.Request{
--- a/internal/node/admin_view.go
+++ b/internal/node/admin_view.go
@@ -6,15 +6,16 @@
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/admin"
+	"github.com/filbertpier/filbertpier/internal/listener"
 	"github.com/filbertpier/filbertpier/internal/member"
 )
 
-// serveAdmin starts the administration API. It returns a *ListenError.
+// serveAdmin starts the administration API. It returns a *listener.Error.
 func (n *Node) serveAdmin() (*http.Server, error) {
 	addr := n.settings.Listen.Admin
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, &ListenError{Addr: addr, Err: err}
+		return nil, &listener.Error{Addr: addr, Err: err}
 	}
 	s := admin.NewServer(admin.NewHandler(n, n.metrics.Registry), n.log.Named("admin"))
 	go func() { _ = s.Serve(admin.Bound(l)) }()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/filbertpier/filbertpier/internal/admin"
 	"github.com/filbertpier/filbertpier/internal/control"
 	"github.com/filbertpier/filbertpier/internal/dataplane"
+	"github.com/filbertpier/filbertpier/internal/listener"
 	"github.com/filbertpier/filbertpier/internal/member"
 	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/peer"
@@ -54,8 +55,8 @@
 	admin      *http.Server
 }
 
-// Start starts a node. It returns a *settings.InvalidError, a *peer.ListenError
-// or a *ListenError.
+// Start starts a node. It returns a *settings.InvalidError or a
+// *listener.Error.
 func Start(s *settings.Node, log hclog.Logger) (*Node, error) {
 	keys, err := s.Keys.Ring()
 	if err != nil {
@@ -120,7 +121,7 @@
 func listen(addr string) (*callListener, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, &ListenError{Addr: addr, Err: err}
+		return nil, &listener.Error{Addr: addr, Err: err}
 	}
 	return newCallListener(l.(*net.TCPListener)), nil
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/filbertpier/filbertpier/internal/effect"
+	"github.com/filbertpier/filbertpier/internal/listener"
 )
 
 const linkShardCount = 16
@@ -26,11 +27,11 @@
 }
 
 // Listen returns a transport that accepts connections on addr and dials from
-// localIP, or from any address if it is empty. It returns a *ListenError.
+// localIP, or from any address if it is empty. It returns a *listener.Error.
 func Listen(addr, localIP string, traffic Traffic, receive Receiver) (*Transport, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, &ListenError{Addr: addr, Err: err}
+		return nil, &listener.Error{Addr: addr, Err: err}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{ctx: ctx, cancel: cancel, receive: receive, traffic: traffic, dialer: newDialer(localIP), listener: l}
--- a/internal/replica/peers/server.go
+++ b/internal/replica/peers/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/filbertpier/filbertpier/internal/listener"
 	"github.com/filbertpier/filbertpier/internal/replica"
 )
 
@@ -34,7 +35,7 @@
 	cancel context.CancelFunc
 }
 
-// Listen starts a server. It returns a *ListenError or a *CodecError.
+// Listen starts a server. It returns a *listener.Error or a *CodecError.
 func Listen(addr string, table *replica.Table, fresh func() bool) (*Server, error) {
 	p, err := newPacker()
 	if err != nil {
@@ -43,7 +44,7 @@
 	config := net.ListenConfig{KeepAlive: keepAlive}
 	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
-		return nil, &ListenError{Addr: addr, Err: err}
+		return nil, &listener.Error{Addr: addr, Err: err}
 	}
 	s := &Server{listener: l, table: table, fresh: fresh, packer: p}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -12,10 +13,13 @@
 // Table is the node's copy. It is safe for concurrent use.
 type Table struct {
 	shards [tableShards]shard
-	// mu guards at and changed and orders Merge, so that observers see the changes of one
+	// at is the revision that the table is complete to. It is written under mu
+	// and read without, since each call reads it and a large version is applied
+	// under mu.
+	at atomic.Uint64
+	// mu guards changed and orders Merge, so that observers see the changes of one
 	// key in the order of their revisions.
 	mu sync.Mutex
-	at uint64
 	// changed is closed and replaced when at advances.
 	changed chan struct{}
 	// observe is called with each change, one at a time.
@@ -34,11 +38,7 @@
 func (t *Table) shard(key string) *shard { return &t.shards[xxhash.Sum64String(key)%tableShards] }
 
 // At returns the revision that the table is complete to.
-func (t *Table) At() uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.at
-}
+func (t *Table) At() uint64 { return t.at.Load() }
 
 // Merge adds changes and returns how many were news.
 func (t *Table) Merge(p Page) int {
@@ -70,10 +70,10 @@
 }
 
 func (t *Table) advance(at uint64) {
-	if at <= t.at {
+	if at <= t.at.Load() {
 		return
 	}
-	t.at = at
+	t.at.Store(at)
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
@@ -83,7 +83,7 @@
 func (t *Table) Changed(after uint64) <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.at > after {
+	if t.at.Load() > after {
 		done := make(chan struct{})
 		close(done)
 		return done
@@ -106,7 +106,7 @@
 func (t *Table) Since(after uint64) Page {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Page{Items: t.since(after), At: t.at}
+	return Page{Items: t.since(after), At: t.at.Load()}
 }
 
 func (t *Table) since(after uint64) []Item {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/feed"
 	"github.com/filbertpier/filbertpier/internal/instance"
+	"github.com/filbertpier/filbertpier/internal/listener"
 	"github.com/filbertpier/filbertpier/internal/mesh"
 	"github.com/filbertpier/filbertpier/internal/replica"
 	"github.com/filbertpier/filbertpier/internal/replica/peers"
@@ -31,7 +32,7 @@
 	cancel   context.CancelFunc
 }
 
-// Start starts a node. It returns a *ListenError or a *peers.ListenError.
+// Start starts a node. It returns a *listener.Error or a *peers.CodecError.
 func Start(s *settings.Mesh, a Adapter, log hclog.Logger) (*Node, error) {
 	n := &Node{settings: s, log: log, conns: newActivity()}
 	registry := prometheus.NewRegistry()
@@ -92,7 +93,7 @@
 func (n *Node) serve(addr string, h http.Handler, idle time.Duration) error {
 	l, err := listenConfig.Listen(context.Background(), "tcp", addr)
 	if err != nil {
-		return &ListenError{Addr: addr, Err: err}
+		return &listener.Error{Addr: addr, Err: err}
 	}
 	s := &http.Server{
 		Addr: addr, Handler: n.conns.count(h), IdleTimeout: idle, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mesh.MaxHeaderBytes,
