Leave the own region more of a VM's link; soak with large answers; watch each boot of a node

Far calls with large answers may plan 0.35 instead of 0.7 of the time until due at another region's VM (TestOwnRegionHasMoreOfTheLink).

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 # picks one; the last line counts violations.
 SEEDS := 10
 fault-soak: build
-	$(BIN)/faultsoak --bin $(BIN) --seeds $(SEEDS) --seed $(SEED)
+	$(BIN)/faultsoak --bin $(BIN) --seeds $(SEEDS) --seed $(SEED) --regressions
 
 demo: build
 	$(BIN)/demo --bin $(BIN)
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -32,6 +32,9 @@
 	after := s.chooser.Distance(s.cfg.Zone, s.cfg.Region, to) + s.link.Duration(q.answerBytes)
 	out.Header[headerDue] = []string{strconv.FormatInt((time.Until(q.due) - after).Milliseconds(), 10)}
 	out.Header[headerBytes] = []string{strconv.Itoa(q.answerBytes)}
+	if to.Region != s.cfg.Region {
+		out.Header[headerFar] = []string{"1"}
+	}
 	if q.idempotent() {
 		out.Header[headerIdempotent] = []string{"1"}
 	}
--- a/internal/mesh/headers.go
+++ b/internal/mesh/headers.go
@@ -13,6 +13,8 @@
 	headerDue = "Filbertpier-Due"
 	// headerBytes holds the expected size of the answer.
 	headerBytes = "Filbertpier-Bytes"
+	// headerFar is set on calls from other regions.
+	headerFar = "Filbertpier-Far"
 	// headerTimes holds the microseconds that a call ran and those that it
 	// spent at the node in all.
 	headerTimes = "Filbertpier-Times"
--- a/internal/mesh/inbound.go
+++ b/internal/mesh/inbound.go
@@ -44,6 +44,7 @@
 // readInbound decodes a call that another node has matched and placed.
 func (s *Server) readInbound(r *http.Request) (*request, *result) {
 	q := newRequest(r, s.cfg.Names)
+	q.far = r.Header.Get(headerFar) != ""
 	q.route = &config.Route{Idempotent: r.Header.Get(headerIdempotent) != ""}
 	q.rank = s.rank(r.Header.Get(call.HeaderRank))
 	q.deadline = q.arrived.Add(s.timeLeft(r, config.MaxTimeoutMs))
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -24,6 +24,8 @@
 	length int64
 	// answerBytes is the expected size of the answer, for calls of other nodes.
 	answerBytes int
+	// far is set on calls of nodes in other regions.
+	far bool
 
 	arrived  time.Time
 	deadline time.Time
--- a/internal/mesh/uplink.go
+++ b/internal/mesh/uplink.go
@@ -13,6 +13,10 @@
 // and the link is as busy with a short backlog as with a long one.
 const linkShare = 0.7
 
+// farLinkShare is the same for calls from other regions. They leave room for
+// the calls of the own region, whose answers need no link between regions.
+const farLinkShare = 0.35
+
 // lateBacklog is the backlog of the link up to which calls are still served
 // whose target cannot be met any more. Behind a longer one they would make
 // others late.
@@ -48,7 +52,11 @@
 	if limit.IsZero() || limit.After(q.deadline) {
 		limit = q.deadline
 	}
-	return took - time.Duration(linkShare*float64(limit.Sub(now)))
+	share := linkShare
+	if q.far {
+		share = farLinkShare
+	}
+	return took - time.Duration(share*float64(limit.Sub(now)))
 }
 
 func (s *Server) linkRate() int { return s.cfg.LinkBytesPerSecond }
--- a/internal/mesh/uplink_test.go
+++ b/internal/mesh/uplink_test.go
@@ -28,3 +28,18 @@
 		}
 	}
 }
+
+// Guards against calls from other regions that take the room of calls of the own
+// region, which then go to other regions themselves.
+func TestOwnRegionHasMoreOfTheLink(t *testing.T) {
+	now := time.Now()
+	own := &request{due: now.Add(time.Second), deadline: now.Add(4 * time.Second)}
+	far := &request{due: own.due, deadline: own.deadline, far: true}
+	const backlog, service, sending = 400 * time.Millisecond, 100 * time.Millisecond, 50 * time.Millisecond
+	if lateBy(now, own, backlog, service, sending) > 0 || lateBy(now, far, backlog, service, sending) <= 0 {
+		t.Error("the own region is refused, or the other one is served")
+	}
+	if lateBy(now, far, 50*time.Millisecond, service, sending) > 0 {
+		t.Error("another region is refused although the link is nearly idle")
+	}
+}
--- a/tools/faultsoak/main.go
+++ b/tools/faultsoak/main.go
@@ -19,20 +19,30 @@
 	app.Flag("subnet", "Second octet of the loopback addresses, so that soaks can run side by side.").Default("60").IntVar(&o.Subnet)
 	seeds := app.Flag("seeds", "Number of seeds.").Default("1").Int()
 	seed := app.Flag("seed", "First seed; 0 picks one.").Default("0").Uint64()
+	again := app.Flag("regressions", "Plays the seeds that once failed first.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if *seed == 0 {
 		*seed = rand.Uint64N(1_000_000)
 	}
-	if !soak(o, *seeds, *seed) {
+	var list []uint64
+	if *again {
+		for _, r := range regressions {
+			list = append(list, r.seed)
+		}
+	}
+	for n := range *seeds {
+		list = append(list, *seed+uint64(n))
+	}
+	if !soak(o, list) {
 		os.Exit(1)
 	}
 }
 
 // soak plays seeds one after another and reports whether all promises held.
-func soak(o options, seeds int, first uint64) bool {
+func soak(o options, seeds []uint64) bool {
 	var total report
-	for n := range seeds {
-		o.Seed = first + uint64(n)
+	for _, seed := range seeds {
+		o.Seed = seed
 		began := time.Now()
 		r, err := run(o)
 		if err != nil {
@@ -47,6 +57,6 @@
 		total.requests += r.requests
 		total.violations = append(total.violations, r.violations...)
 	}
-	fmt.Printf("fault-soak: seeds=%d steps=%d requests=%d violations=%d\n", seeds, total.steps, total.requests, len(total.violations))
+	fmt.Printf("fault-soak: seeds=%d steps=%d requests=%d violations=%d\n", len(seeds), total.steps, total.requests, len(total.violations))
 	return len(total.violations) == 0
 }
--- a/tools/faultsoak/upstream.go
+++ b/tools/faultsoak/upstream.go
@@ -23,8 +23,11 @@
 	serveOn    = 3500 * time.Millisecond
 	maxWork    = 40 * time.Millisecond
 	slowWork   = 400 * time.Millisecond
-	// padding makes answers larger than one packet.
-	padding = 3000
+	// padding makes answers larger than one packet; one in largeOne is larger
+	// than what is sent without taking turns.
+	padding      = 3000
+	largeOne     = 20
+	largePadding = 60_000
 )
 
 var names = platform.Names()
@@ -112,7 +115,11 @@
 	if hit(&u.faults.lose) {
 		panic(http.ErrAbortHandler)
 	}
-	body := []byte(fmt.Sprintf("%s %s %s", id, path, strings.Repeat("x", rand.IntN(padding))))
+	size := rand.IntN(padding)
+	if rand.IntN(largeOne) == 0 {
+		size += largePadding
+	}
+	body := []byte(fmt.Sprintf("%s %s %s", id, path, strings.Repeat("x", size)))
 	w.Header().Set(names.Seal, seal(id, body))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if hit(&u.faults.truncate) {
--- a/tools/faultsoak/vm.go
+++ b/tools/faultsoak/vm.go
@@ -85,6 +85,7 @@
 	}
 	m.node, m.ended, m.stopping, m.startedAt = p, false, false, time.Now()
 	m.boot++
+	go m.watch(p, m.boot)
 	return nil
 }
 
@@ -119,11 +120,12 @@
 	}
 }
 
-// watch reports nodes that end by themselves.
-func (m *vm) watch(p *fleet.Process) {
+// watch reports a node that ends by itself. A later boot means that the soak
+// ended this one.
+func (m *vm) watch(p *fleet.Process, boot int) {
 	<-p.Done()
-	_, ended, stopping, _ := m.state()
-	if !ended && !stopping && !m.world.finished.Load() {
+	now, ended, stopping, _ := m.state()
+	if now == boot && !ended && !stopping && !m.world.finished.Load() {
 		m.world.verdict.add("EXIT", "node %s ended by itself: %s", m.ip, fmt.Sprint(p.Log))
 	}
 }
--- a/tools/faultsoak/world.go
+++ b/tools/faultsoak/world.go
@@ -92,11 +92,7 @@
 		return err
 	}
 	w.vms = append(w.vms, m)
-	if err := m.start(); err != nil {
-		return err
-	}
-	go m.watch(m.node)
-	return nil
+	return m.start()
 }
 
 func (w *world) logFile(name string) (*os.File, error) {
