--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -67,7 +67,6 @@
 }
 
 func (r *Reader) readSource(ctx context.Context) {
-	r.begin(ctx)
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := r.step(ctx)
