Let the later entry take an address: calls no longer go to crashed predecessors

Calls to the old ids were refused as target-gone, some five times.

Ruled out: ordering by start time, which an upstream's clock may get wrong.

Change: of two instances at one address the one with the earlier revision is gone.

--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -18,6 +18,7 @@
 type Directory struct {
 	services [directoryShards]shard
 	ids      [directoryShards]idShard
+	addrs    [directoryShards]addrShard
 }
 
 // NewDirectory returns an empty directory.
@@ -26,6 +27,7 @@
 	for i := range directoryShards {
 		d.services[i].byService = map[string][]*Instance{}
 		d.ids[i].byID = map[string]*Instance{}
+		d.addrs[i].byAddr = map[string]*Instance{}
 	}
 	return d
 }
@@ -38,8 +40,31 @@
 	return &d.ids[xxhash.Sum64String(id)%directoryShards]
 }
 
-// Put stores an instance, replacing what was known under its id.
+func (d *Directory) addrShard(addr string) *addrShard {
+	return &d.addrs[xxhash.Sum64String(addr)%directoryShards]
+}
+
+// Put stores an instance, replacing what was known under its id. Of two
+// instances at one address the one whose entry was written earlier is gone: the
+// entry of a crashed upstream stays for some seconds, and calls to it would
+// reach the upstream that has its address now, which refuses them.
 func (d *Directory) Put(i *Instance) {
+	if i.State >= Lapsed {
+		d.store(i)
+		return
+	}
+	earlier := d.addrShard(i.Addr).take(i)
+	if earlier == i {
+		d.store(i.gone())
+		return
+	}
+	d.store(i)
+	if earlier != nil && d.Get(earlier.ID) != nil {
+		d.store(d.Get(earlier.ID).gone())
+	}
+}
+
+func (d *Directory) store(i *Instance) {
 	old := d.idShard(i.ID).put(i)
 	if old != nil && old.Service != i.Service {
 		d.serviceShard(old.Service).remove(old.Service, old.ID)
@@ -106,6 +131,7 @@
 	for _, i := range d.All() {
 		if i.State >= Lapsed && now.Sub(i.Since) > goneMemory {
 			d.idShard(i.ID).remove(i.ID)
+			d.addrShard(i.Addr).remove(i)
 			d.serviceShard(i.Service).remove(i.Service, i.ID)
 		}
 	}
--- /dev/null
+++ b/internal/instance/directory_test.go
@@ -0,0 +1,65 @@
+package instance
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entry(id, service, addr string, revision uint64) *Instance {
+	return &Instance{ID: id, Service: service, Addr: addr, Slots: 4, Revision: revision, Since: start}
+}
+
+func serving(d *Directory, service string) map[string]bool {
+	out := map[string]bool{}
+	for _, i := range d.Service(service) {
+		if i.Serves(start) {
+			out[i.ID] = true
+		}
+	}
+	return out
+}
+
+// Guards against calls to an upstream that crashed and whose address another one
+// has: after all VMs had lost power, the old entries stayed for seconds and
+// calls to them were refused as target-gone, up to five times each.
+func TestLaterEntryTakesTheAddress(t *testing.T) {
+	cases := []struct {
+		name    string
+		entries []*Instance
+	}{
+		{"the later entry comes last", []*Instance{entry("old", "s", "a:1", 5), entry("new", "s", "a:1", 9)}},
+		{"the later entry comes first", []*Instance{entry("new", "s", "a:1", 9), entry("old", "s", "a:1", 5)}},
+		{"another service has the address", []*Instance{entry("old", "t", "a:1", 5), entry("new", "s", "a:1", 9)}},
+	}
+	for _, c := range cases {
+		d := NewDirectory()
+		d.Put(entry("other", "s", "b:1", 7))
+		for _, i := range c.entries {
+			d.Put(i)
+		}
+		if got := serving(d, "s"); !got["new"] || !got["other"] || got["old"] {
+			t.Errorf("%s: %v", c.name, got)
+		}
+		if got := serving(d, "t"); len(got) != 0 {
+			t.Errorf("%s: service t has %v", c.name, got)
+		}
+		// The old entry expires later; its address stays with the new one.
+		d.Lapse(start, "old", 12, time.Second)
+		if got := serving(d, "s"); !got["new"] || got["old"] {
+			t.Errorf("%s, after the old entry expired: %v", c.name, got)
+		}
+	}
+}
+
+// Guards against an upstream that is taken for two because its entry changes.
+func TestChangedEntryKeepsItsAddress(t *testing.T) {
+	d := NewDirectory()
+	for revision := range uint64(5) {
+		d.Put(entry("a", "s", "a:1", revision))
+	}
+	if got := serving(d, "s"); len(got) != 1 {
+		t.Errorf("%v", got)
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -41,3 +41,10 @@
 	s := i.StateAt(now)
 	return s == Ready || s == Lapsed
 }
+
+// gone returns a copy that gets no work any more.
+func (i *Instance) gone() *Instance {
+	next := *i
+	next.State = Gone
+	return &next
+}
