Expect service times from running calls, not from ended ones alone

Ruled out: assuming a quarter of the target while nothing is known (the gate then refuses calls on an idle fleet; TestGateKeepsFloorAfterIdleTime).

Change: while half of the slots run calls of a rank, their mean age is the least service time.

--- a/internal/admission/account.go
+++ b/internal/admission/account.go
@@ -8,6 +8,9 @@
 // account is a rank's use of the slots, guarded by the ledger's lock.
 type account struct {
 	running int
+	// startedSum is the sum of the starts of the running calls, as times since
+	// the ledger's base.
+	startedSum time.Duration
 	// credit is the slot time in seconds by which the rank is behind its
 	// floor; negative when it is ahead.
 	credit  float64
@@ -43,6 +46,25 @@
 	a.credit = min(max(a.credit, -ahead), creditLimit*floorSlots)
 }
 
+// begin and end count a running call that started at a time since the base.
+func (a *account) begin(started time.Duration) {
+	a.running++
+	a.startedSum += started
+}
+
+func (a *account) end(started time.Duration) {
+	a.running--
+	a.startedSum -= started
+}
+
+// age returns how long the running calls have run on average; zero without any.
+func (a *account) age(since time.Duration) time.Duration {
+	if a.running == 0 {
+		return 0
+	}
+	return since - a.startedSum/time.Duration(a.running)
+}
+
 func (a *account) observeUse(elapsed time.Duration) {
 	if elapsed > 0 {
 		a.use += (float64(a.running) - a.use) * (1 - math.Exp(-elapsed.Seconds()/useMemory.Seconds()))
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -12,6 +12,8 @@
 	limits     Limits
 	running    int
 	advancedAt time.Time
+	// base is the time of the first call; starts are kept relative to it.
+	base time.Time
 }
 
 // reserve takes a free slot for the rank that goes next, or returns nil.
@@ -27,7 +29,7 @@
 		return nil
 	}
 	l.running++
-	next.account.running++
+	next.account.begin(l.since(now))
 	return next
 }
 
@@ -40,7 +42,7 @@
 	}
 	l.advance(now, table)
 	l.running++
-	e.account.running++
+	e.account.begin(l.since(now))
 	return true
 }
 
@@ -94,7 +96,7 @@
 	defer l.mu.Unlock()
 	l.advance(now, table)
 	l.running--
-	e.account.running--
+	e.account.end(l.since(now) - ran)
 	if ran > 0 {
 		e.account.service.observe(now, ran)
 	}
@@ -106,7 +108,7 @@
 func (l *ledger) forecast(now time.Time, table *rankTable, e *rankEntry, urgent, same int) (service, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	service = e.account.service.estimate(now)
+	service = l.serviceTime(now, e)
 	slots := float64(l.limits.maxRunning())
 	if slots == 0 {
 		return service, 0
@@ -121,6 +123,25 @@
 	return service, time.Duration(byOrder)
 }
 
+// serviceTime returns how long a call of a rank is expected to run. Calls that
+// run already tell sooner than ended ones that an upstream has turned slow or
+// started cold.
+func (l *ledger) serviceTime(now time.Time, e *rankEntry) time.Duration {
+	estimate := e.account.service.estimate(now)
+	if 2*e.account.running >= l.limits.maxRunning() {
+		estimate = max(estimate, e.account.age(l.since(now)))
+	}
+	return estimate
+}
+
+// since returns a time relative to the ledger's base.
+func (l *ledger) since(now time.Time) time.Duration {
+	if l.base.IsZero() {
+		l.base = now
+	}
+	return now.Sub(l.base)
+}
+
 // urgentUse returns the slots that calls of more urgent ranks use lately: later
 // calls of these ranks will overtake a waiting one. Without it less urgent calls
 // are accepted in a shortage and then wait until their deadline.
