Probe each instance of a lost node; forget the loss of one that has left

Cause, found by reading: probes were kept by address. After a loss of power a new upstream may be listed before its node listens; its probe was not started because that of the instance before it ran, and it stayed without calls for up to a minute. An instance that left and came back under its id did so too.

Tests: TestProberTellsEachInstanceOfANode, the end of the probe in TestProberGivesUpWhatIsNotWanted. The report of load is built in one place.

--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -147,14 +147,14 @@
 	return res
 }
 
-// probe connects to the node beside an instance until it is back or the instance
-// has left.
+// probe connects to the node beside an instance until it is back. An instance
+// that has left is forgotten as lost, since it may come back under its id.
 func (s *Server) probe(to *instance.Instance) {
 	host, _, err := net.SplitHostPort(to.Addr)
 	if err != nil {
 		return
 	}
-	s.prober.start(s.background, net.JoinHostPort(host, s.cfg.PeerPort),
+	s.prober.start(s.background, to.ID, net.JoinHostPort(host, s.cfg.PeerPort),
 		func() bool { return s.cfg.Directory.Get(to.ID) != nil },
 		func() { s.chooser.Recovered(time.Now(), to) })
 }
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -13,7 +13,6 @@
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/httpconn"
 	"github.com/filbertpier/filbertpier/internal/instance"
-	"github.com/filbertpier/filbertpier/internal/placement"
 )
 
 // runLocal admits a call to the upstream beside this node and runs it. The
@@ -22,8 +21,7 @@
 	arrived := time.Now()
 	res := s.admit(ctx, q, target)
 	res.stayed = time.Since(arrived)
-	report := s.limiter.Report()
-	res.load = &placement.Load{Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, Link: s.link.Backlog(), LinkRate: s.linkRate()}
+	res.load = s.load()
 	s.cfg.Metrics.Admissions.WithLabelValues(res.kind.String(), string(res.reason)).Inc()
 	return res
 }
--- a/internal/mesh/prober.go
+++ b/internal/mesh/prober.go
@@ -32,25 +32,26 @@
 	return p
 }
 
-func (p *prober) shard(addr string) *proberShard {
-	return &p.shards[xxhash.Sum64String(addr)%proberShards]
+func (p *prober) shard(id string) *proberShard {
+	return &p.shards[xxhash.Sum64String(id)%proberShards]
 }
 
-// start probes a lost node unless it is being probed. It calls found once the
-// node can be reached, and gives up when the context ends or wanted returns
-// false.
-func (p *prober) start(ctx context.Context, addr string, wanted func() bool, found func()) {
-	s := p.shard(addr)
-	if !s.begin(addr) {
+// start probes the node beside a lost instance unless that is under way. Two
+// instances may have one node after each other, so each has a probe of its own.
+// It calls end once the node can be reached, or wanted returns false; not if
+// the context ends first.
+func (p *prober) start(ctx context.Context, id, addr string, wanted func() bool, end func()) {
+	s := p.shard(id)
+	if !s.begin(id) {
 		return
 	}
 	go func() {
-		defer s.end(addr)
-		p.run(ctx, addr, wanted, found)
+		defer s.end(id)
+		p.run(ctx, addr, wanted, end)
 	}()
 }
 
-func (p *prober) run(ctx context.Context, addr string, wanted func() bool, found func()) {
+func (p *prober) run(ctx context.Context, addr string, wanted func() bool, end func()) {
 	for pause := firstProbe; ; pause = min(2*pause, maxProbe) {
 		timer := time.NewTimer(pause)
 		select {
@@ -59,11 +60,8 @@
 			return
 		case <-timer.C:
 		}
-		if !wanted() {
-			return
-		}
-		if p.connect(ctx, addr) == nil {
-			found()
+		if !wanted() || p.connect(ctx, addr) == nil {
+			end()
 			return
 		}
 	}
--- a/internal/mesh/prober_shard.go
+++ b/internal/mesh/prober_shard.go
@@ -2,26 +2,26 @@
 
 import "sync"
 
-// proberShard holds the addresses that are being probed.
+// proberShard holds the ids of the instances that are being probed.
 type proberShard struct {
 	// mu guards running.
 	mu      sync.Mutex
 	running map[string]struct{}
 }
 
-// begin reports whether no probe of the address was running.
-func (s *proberShard) begin(addr string) bool {
+// begin reports whether no probe of the instance was running.
+func (s *proberShard) begin(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.running[addr]; ok {
+	if _, ok := s.running[id]; ok {
 		return false
 	}
-	s.running[addr] = struct{}{}
+	s.running[id] = struct{}{}
 	return true
 }
 
-func (s *proberShard) end(addr string) {
+func (s *proberShard) end(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.running, addr)
+	delete(s.running, id)
 }
--- a/internal/mesh/prober_test.go
+++ b/internal/mesh/prober_test.go
@@ -24,7 +24,7 @@
 			return nil
 		})
 		for range 100 {
-			p.start(t.Context(), "a", func() bool { return true }, func() { found.Add(1) })
+			p.start(t.Context(), "i", "a", func() bool { return true }, func() { found.Add(1) })
 		}
 		time.Sleep(5*time.Second + maxProbe)
 		synctest.Wait()
@@ -39,12 +39,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		wanted := atomic.Bool{}
 		wanted.Store(true)
-		attempts := atomic.Int64{}
+		var attempts, ended atomic.Int64
 		p := newProber(func(context.Context, string) error {
 			attempts.Add(1)
 			return &httpconn.DialError{}
 		})
-		p.start(t.Context(), "a", wanted.Load, func() {})
+		p.start(t.Context(), "i", "a", wanted.Load, func() { ended.Add(1) })
 		time.Sleep(3 * time.Second)
 		wanted.Store(false)
 		before := attempts.Load()
@@ -52,5 +52,25 @@
 		if attempts.Load() > before {
 			t.Errorf("%d attempts after the node was not wanted", attempts.Load()-before)
 		}
+		if ended.Load() != 1 {
+			t.Errorf("the end was told %d times: an instance that returns under its id stays lost", ended.Load())
+		}
+	})
+}
+
+// Guards against an instance that stays lost because the node beside it is
+// already probed for the instance before it: after a loss of power a new upstream
+// is listed a moment before its node listens.
+func TestProberTellsEachInstanceOfANode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var found atomic.Int64
+		p := newProber(func(context.Context, string) error { return nil })
+		for _, id := range []string{"before", "after"} {
+			p.start(t.Context(), id, "a", func() bool { return true }, func() { found.Add(1) })
+		}
+		time.Sleep(maxProbe)
+		if found.Load() != 2 {
+			t.Errorf("%d of 2 instances found", found.Load())
+		}
 	})
 }
--- a/internal/mesh/uplink.go
+++ b/internal/mesh/uplink.go
@@ -33,8 +33,7 @@
 	if late := lateBy(time.Now(), q, backlog, service, sending); late > 0 {
 		res := notRun(ReasonLink, "the link is taken for "+backlog.String()+", the answer takes "+sending.String())
 		res.wait = late
-		report := s.limiter.Report()
-		res.load = &placement.Load{Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, Link: backlog, LinkRate: s.linkRate()}
+		res.load = s.load()
 		return nil, res
 	}
 	return s.link.Expect(q.answerBytes, q.due), nil
@@ -59,7 +58,14 @@
 	return took - time.Duration(share*float64(limit.Sub(now)))
 }
 
-func (s *Server) linkRate() int { return s.cfg.LinkBytesPerSecond }
+// load returns what the node reports to senders.
+func (s *Server) load() *placement.Load {
+	report := s.limiter.Report()
+	return &placement.Load{
+		Running: report.Running, Waiting: report.Waiting, Slots: report.Slots,
+		Link: s.link.Backlog(), LinkRate: s.cfg.LinkBytesPerSecond,
+	}
+}
 
 func parseBytes(text string) int {
 	n, err := strconv.Atoi(text)
