--- a/tools/faultsoak/upstream_faults.go
+++ b/tools/faultsoak/upstream_faults.go
@@ -11,10 +11,4 @@
 	lose, truncate, shed, slow atomic.Int32
 }
 
-func (f *upstreamFaults) clear() {
-	for _, share := range []*atomic.Int32{&f.lose, &f.truncate, &f.shed, &f.slow} {
-		share.Store(0)
-	}
-}
-
 func hit(share *atomic.Int32) bool { return rand.Int32N(100) < share.Load() }
