Send answers that are ready although the time allowed for the call has ended

Cause, found by reading: turns on the link ended with the call's deadline, so an answer that was ready was cut while it was sent, where it was written whole before links were counted.

--- a/internal/mesh/entry.go
+++ b/internal/mesh/entry.go
@@ -26,7 +26,7 @@
 	defer cancel()
 	res, attempts := s.serveUntilAbandoned(ctx, cancel, q)
 	defer res.close()
-	s.finishEntry(ctx, w, q, res, attempts)
+	s.finishEntry(r.Context(), w, q, res, attempts)
 }
 
 // serveUntilAbandoned serves a call unless the node stops waiting for it, which
--- a/internal/mesh/inbound.go
+++ b/internal/mesh/inbound.go
@@ -38,7 +38,7 @@
 	}
 	defer res.close()
 	s.logInbound(q, res)
-	s.finishInbound(ctx, w, res)
+	s.finishInbound(r.Context(), w, res)
 }
 
 // readInbound decodes a call that another node has matched and placed.
--- a/internal/sidecar/uplink_test.go
+++ b/internal/sidecar/uplink_test.go
@@ -52,3 +52,26 @@
 		t.Errorf("%d served, %d refused, %d runs", served, refused, a.runs.Load())
 	}
 }
+
+// Guards against cutting answers that are ready because the time allowed for the
+// call ends while they are sent: a late answer is worth more than none.
+func TestReadyAnswerIsSentThoughLate(t *testing.T) {
+	const size = 60_000
+	f := newFleet(t)
+	a := f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	})
+	// The two answers take 3.3 s, the callers allow 2.5 s.
+	a.settings.LinkBytesPerSecond = 40_000
+	a.start()
+	await(t, "ready", a.ready)
+	answers := make(chan answer, 2)
+	for range cap(answers) {
+		go func() { answers <- a.call("GET", "/safe/x") }()
+	}
+	for range cap(answers) {
+		if got := <-answers; got.err != nil || got.status != http.StatusOK || len(got.body) != size {
+			t.Errorf("status %d, %d bytes, %v", got.status, len(got.body), got.err)
+		}
+	}
+}
