Build the soak's requests in one place; take the ready path from platform

Found by reading the change: caller and version probe set the same headers and ledger entry, and world.go named a path of the platform. Checks and bounds are unchanged; TestShortSoak and TestChecksFindBrokenPromises pass.

--- a/tools/faultsoak/caller.go
+++ b/tools/faultsoak/caller.go
@@ -57,18 +57,13 @@
 
 // send sends one request, checks its answer and returns how long to wait.
 func (c *caller) send(id, method, path string, once bool) time.Duration {
-	world := c.vm.world
-	world.ledger.with(id, func(a *attempt) { a.sent, a.once = true, once })
 	boot, _, _, _ := c.vm.state()
 	ctx, cancel := context.WithTimeout(context.Background(), timeLeft)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.vm.addr(outboundPort)+path, http.NoBody)
+	req, err := newRequest(ctx, c.vm, id, method, path, once)
 	if err != nil {
 		return 0
 	}
-	req.Host = host
-	req.Header.Set(names.AttemptID, id)
-	req.Header.Set(names.TimeLeft, strconv.FormatInt(timeLeft.Milliseconds(), 10))
 	began := time.Now()
 	resp, err := c.client.Do(req)
 	if err != nil {
--- a/tools/faultsoak/version_probe.go
+++ b/tools/faultsoak/version_probe.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 )
 
@@ -79,14 +78,10 @@
 func (p *versionProbe) ask(version uint64) int {
 	p.count++
 	id := fmt.Sprintf("%s/probe/%d", p.vm.ip, p.count)
-	p.vm.world.ledger.with(id, func(a *attempt) { a.sent = true })
-	req, err := http.NewRequest(http.MethodGet, "http://"+p.vm.addr(outboundPort)+versionPath(version), http.NoBody)
+	req, err := newRequest(context.Background(), p.vm, id, http.MethodGet, versionPath(version), false)
 	if err != nil {
 		return 0
 	}
-	req.Host = host
-	req.Header.Set(names.AttemptID, id)
-	req.Header.Set(names.TimeLeft, strconv.FormatInt(timeLeft.Milliseconds(), 10))
 	resp, err := p.client.Do(req)
 	if err != nil {
 		return 0
--- a/tools/faultsoak/world.go
+++ b/tools/faultsoak/world.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/filbertpier/filbertpier/platform"
 	"github.com/filbertpier/filbertpier/platform/standin"
 )
 
@@ -110,7 +111,7 @@
 	for end := time.Now().Add(readyLimit); time.Now().Before(end); pause(50 * time.Millisecond) {
 		ready := 0
 		for _, m := range w.vms {
-			if resp, err := http.Get("http://" + m.addr(readyPort) + "/-/ready"); err == nil {
+			if resp, err := http.Get("http://" + m.addr(readyPort) + platform.ReadyPath); err == nil {
 				_ = resp.Body.Close()
 				if resp.StatusCode == http.StatusOK {
 					ready++
