replica: answer reads of other nodes in a Publisher

The wait of a long poll and the choice of what a response says were part of the JSON-RPC server. They are decisions about the copy, so they move to package replica, where a test in virtual time can run them without a connection. The behaviour is the same.

--- a/internal/replica/peers/server.go
+++ b/internal/replica/peers/server.go
@@ -24,13 +24,11 @@
 	keepAliveInterval = 5 * time.Second
 )
 
-// Server serves the table's items to other nodes. It is safe for concurrent use.
+// Server serves a publisher's items to other nodes. It is safe for concurrent
+// use.
 type Server struct {
-	listener net.Listener
-	table    *replica.Table
-	// fresh reports whether the node's own copy is up to date; see
-	// replica.Reader.Connected.
-	fresh      func() bool
+	listener   net.Listener
+	publisher  *replica.Publisher
 	compressor *compressor
 	conns      atomic.Int64
 	// ctx ends with Close.
@@ -38,9 +36,8 @@
 	cancel context.CancelFunc
 }
 
-// Listen starts a server on addr. fresh is called for each response. It returns
-// a *listener.Error or a *CodecError.
-func Listen(addr string, table *replica.Table, fresh func() bool) (*Server, error) {
+// Listen starts a server on addr. It returns a *listener.Error or a *CodecError.
+func Listen(addr string, publisher *replica.Publisher) (*Server, error) {
 	c, err := newCompressor()
 	if err != nil {
 		return nil, err
@@ -50,7 +47,7 @@
 	if err != nil {
 		return nil, &listener.Error{Addr: addr, Err: err}
 	}
-	s := &Server{listener: l, table: table, fresh: fresh, compressor: c}
+	s := &Server{listener: l, publisher: publisher, compressor: c}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	go s.accept()
 	return s, nil
@@ -95,30 +92,15 @@
 	if err := json.Unmarshal(*r.Params, &p); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	s.waitForChange(ctx, p)
-	page := s.table.ChangesSince(p.AfterRevision)
-	out := wirePage{Revision: page.Revision, Fresh: s.fresh()}
+	wait := min(time.Duration(p.WaitMs)*time.Millisecond, maxWait)
+	page := s.publisher.Page(ctx, p.AfterRevision, wait)
+	out := wirePage{Revision: page.Revision, Fresh: page.Fresh}
 	for _, i := range page.Items {
 		out.Items = append(out.Items, s.compressor.compress(i))
 	}
 	return out, nil
 }
 
-// waitForChange returns when the table has changes after the client's revision,
-// or after the wait that the client asked for, at most maxWait.
-func (s *Server) waitForChange(ctx context.Context, p fetchParams) {
-	if p.WaitMs <= 0 {
-		return
-	}
-	timer := time.NewTimer(min(time.Duration(p.WaitMs)*time.Millisecond, maxWait))
-	defer timer.Stop()
-	select {
-	case <-s.table.Changed(p.AfterRevision):
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func newStream(c net.Conn) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{})
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -77,7 +77,7 @@
 	metrics := http.NewServeMux()
 	metrics.Handle("GET "+a.MetricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	var err error
-	if n.peerServer, err = peers.Listen(n.settings.Listen.Control, table, n.reader.Connected); err != nil {
+	if n.peerServer, err = peers.Listen(n.settings.Listen.Control, replica.NewPublisher(table, n.reader.Connected)); err != nil {
 		return err
 	}
 	l := n.settings.Listen
