--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -121,6 +121,7 @@
 	// The upstream may have closed the idle connection while the request was
 	// sent, or crashed while it ran the call. The first request therefore counts
 	// as possibly run even if the second one is not run.
+	s.cfg.Metrics.Resends.Inc()
 	resp, err = s.upstream.Do(ctx, s.cfg.UpstreamAddr, out)
 	res := s.exchangeResult(ctx, q, resp, err)
 	if res.kind == ResultNotRun {
--- a/internal/mesh/metrics.go
+++ b/internal/mesh/metrics.go
@@ -16,6 +16,9 @@
 	Admissions *prometheus.CounterVec
 	// Retries counts retry decisions by service and reason.
 	Retries *prometheus.CounterVec
+	// Resends counts the calls that were sent to the upstream beside the node a
+	// second time after a reused connection broke.
+	Resends prometheus.Counter
 }
 
 // NewMetrics creates the metrics and registers them with r. It panics if one of
@@ -27,8 +30,10 @@
 		Attempts:    newCounterVec("mesh_attempts_total", "Attempts at upstreams.", "service", "result", "reason"),
 		Admissions:  newCounterVec("mesh_admissions_total", "Decisions of the node beside the upstream.", "result", "reason"),
 		Retries:     newCounterVec("mesh_retries_total", "Further attempts.", "service", "reason"),
+		Resends: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "mesh_upstream_resends_total",
+			Help: "Calls sent to the upstream again after a reused connection broke."}),
 	}
-	r.MustRegister(m.Calls, m.CallSeconds, m.Attempts, m.Admissions, m.Retries)
+	r.MustRegister(m.Calls, m.CallSeconds, m.Attempts, m.Admissions, m.Retries, m.Resends)
 	return m
 }
 
--- a/internal/replica/observer.go
+++ b/internal/replica/observer.go
@@ -10,6 +10,9 @@
 	// Recovered reports the first successful read after the start or an outage,
 	// and the time without one.
 	Recovered(outage time.Duration)
+	// Listed reports a complete list that was read from the platform, its
+	// revision and its number of items.
+	Listed(revision uint64, items int)
 	// Relisting reports that all items are listed again, because the platform no
 	// longer has all changes after a revision.
 	Relisting(revision uint64)
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -29,6 +29,9 @@
 	// disconnectedAt and reconnectedAt are when connected was last cleared and
 	// set, in Unix nanoseconds. disconnectedAt starts as the time of creation.
 	disconnectedAt, reconnectedAt atomic.Int64
+	// confirmedAt is when a read last succeeded, in Unix nanoseconds; zero
+	// before the first success.
+	confirmedAt atomic.Int64
 }
 
 // NewReader returns a reader for a table. Run starts it.
@@ -43,6 +46,16 @@
 // connected itself.
 func (r *Reader) Connected() bool { return r.connected.Load() }
 
+// ConfirmedAge returns the time since the last successful read, which confirmed
+// that the copy is up to date; zero before the first one.
+func (r *Reader) ConfirmedAge(now time.Time) time.Duration {
+	at := r.confirmedAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, at))
+}
+
 // Unstable reports whether the node is disconnected or reconnected only
 // recently. The platform may then lack entries that are about to be restored.
 func (r *Reader) Unstable(now time.Time) bool {
@@ -143,6 +156,7 @@
 		r.listed.Store(true)
 		r.markConnected()
 		r.table.Replace(page)
+		r.cfg.Observer.Listed(page.Revision, len(page.Items))
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(runCtx, watchWait+watchGrace)
@@ -168,6 +182,7 @@
 
 // markConnected records a successful read and reports the end of an outage.
 func (r *Reader) markConnected() {
+	r.confirmedAt.Store(time.Now().UnixNano())
 	if !r.connected.Swap(true) {
 		r.reconnectedAt.Store(time.Now().UnixNano())
 		r.cfg.Observer.Recovered(time.Since(time.Unix(0, r.disconnectedAt.Load())))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -50,6 +50,10 @@
 		TreePosition: client.TreePosition,
 	}, table)
 	applier.Unstable = n.reader.Unstable
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "filbertpier", Name: "replica_confirmed_age_seconds",
+		Help: "Time since the last successful read of the published items.",
+	}, func() float64 { return n.reader.ConfirmedAge(time.Now()).Seconds() }))
 	n.server = mesh.NewServer(mesh.Config{
 		HeaderNames: a.HeaderNames, Zone: s.Zone, Region: s.Region, Service: s.Service,
 		UpstreamAddr: s.Upstream, PeerPort: port(s.Listen.Nodes), LocalIP: s.LocalIP,
--- a/internal/sidecar/observer.go
+++ b/internal/sidecar/observer.go
@@ -44,6 +44,12 @@
 	o.log.Info("platform responding", "after_ms", outage.Milliseconds())
 }
 
+// Listed implements replica.Observer.
+func (o *observer) Listed(revision uint64, items int) {
+	o.events.WithLabelValues("listed").Inc()
+	o.log.Info("listed all items", "revision", revision, "items", items)
+}
+
 // Relisting implements replica.Observer.
 func (o *observer) Relisting(revision uint64) {
 	o.events.WithLabelValues("relisting").Inc()
