--- /dev/null
+++ b/internal/replica/parent_cut_test.go
@@ -0,0 +1,34 @@
+package replica
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// configApplyBound is config_apply_ms, the time within which the platform
+// requires a change to be in force.
+const configApplyBound = 2500 * time.Millisecond
+
+// Guards against nodes that trust a parent whose watch of the platform hangs:
+// they follow no change until the watch fails.
+func TestChangeArrivesInTimeWhileParentIsCutFromPlatform(t *testing.T) {
+	for delay := time.Duration(0); delay <= 6*time.Second; delay += 250 * time.Millisecond {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				platform, fleet := newTestPlatform(), &testFleet{nodes: map[string]*testNode{}}
+				platform.put("config", false)
+				root := fleet.add(t, platform, "root", "")
+				child := fleet.add(t, platform, "child", "root")
+				time.Sleep(10500 * time.Millisecond)
+				root.source.cut.Store(true)
+				time.Sleep(delay)
+				platform.put("config", false)
+				time.Sleep(configApplyBound)
+				if got := child.table.Revision(); got != 2 {
+					t.Errorf("the child is at revision %d %s after the change, want 2", got, configApplyBound)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/replica/test_node_test.go
@@ -0,0 +1,22 @@
+package replica
+
+import (
+	"slices"
+	"sync"
+)
+
+// testNode is a node that reads from the platform or from its parent.
+type testNode struct {
+	source    *testSource
+	table     *Table
+	reader    *Reader
+	publisher *Publisher
+	mu        sync.Mutex
+	deleted   []string
+}
+
+func (n *testNode) knowsDeleted(key string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Contains(n.deleted, key)
+}
--- /dev/null
+++ b/internal/replica/test_source_test.go
@@ -0,0 +1,43 @@
+package replica
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// testSource is one node's connection to the platform. While it is cut, reads
+// end only with their context, as on a path that drops all packets.
+type testSource struct {
+	platform *testPlatform
+	cut      atomic.Bool
+}
+
+func (s *testSource) List(ctx context.Context) (Page, error) {
+	if s.cut.Load() {
+		<-ctx.Done()
+		return Page{}, ctx.Err()
+	}
+	page, _ := s.platform.pageAfter(0, true)
+	return page, nil
+}
+
+func (s *testSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+	timeout := time.After(wait)
+	for {
+		page, changed := s.platform.pageAfter(after, false)
+		if len(page.Items) > 0 && !s.cut.Load() {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			if !s.cut.Load() {
+				return page, nil
+			}
+			timeout = nil
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		}
+	}
+}
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -171,6 +171,11 @@
 	settings *settings.Sidecar
 	runs     atomic.Int64
 	upstream *httptest.Server
+	// arrivals counts the requests that reached the upstream, run or not.
+	arrivals atomic.Int64
+	// restarted is set once the upstream has restarted under an id that the
+	// store does not list: it refuses all requests as misdirected.
+	restarted atomic.Bool
 }
 
 // newFleet starts a store with version 1, which routes to service a.
@@ -192,8 +197,9 @@
 		f.t.Fatal(err)
 	}
 	v.upstream = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		v.arrivals.Add(1)
 		w.Header().Set(headerNames.AttemptID, r.Header.Get(headerNames.AttemptID))
-		if r.Header.Get(headerNames.ExpectedInstance) != v.id {
+		if v.restarted.Load() || r.Header.Get(headerNames.ExpectedInstance) != v.id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
