replica: notice a silent platform in 1.6 s and tell waiting children at once

Cause: a reader of the platform counts as connected while its watch hangs, up to 6 s after the path was cut without a reset, and its children read nothing else meanwhile.

The wait of a watch is 1 s and its response may be 0.6 s late; a node that loses the platform answers the long polls of its children at once, and these read the platform themselves. Ruled out: late applying (received and applied within 9 ms) and a broken tree (no upstream changed).

--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -4,14 +4,16 @@
 
 const (
 	// watchWait is the long-poll time of a watch. A node detects a platform that
-	// stopped responding after at most watchWait plus watchGrace.
-	watchWait = 5 * time.Second
+	// stopped responding after at most watchWait plus watchGrace. Its children
+	// trust it until then, so the sum leaves time for their own read before a
+	// change must be in force.
+	watchWait = time.Second
 	// batchDelay is the pause after a watch that returned new changes, so that
 	// changes in quick succession are read together.
 	batchDelay = 400 * time.Millisecond
 	// watchGrace is how long after watchWait the response to a watch may still
 	// arrive.
-	watchGrace = time.Second
+	watchGrace = 600 * time.Millisecond
 	// followWait is the long-poll time at the parent node, and followGrace how
 	// long after it the response may still arrive. A node whose parent is paused
 	// or dead reads the platform after both have passed.
--- a/internal/replica/publisher.go
+++ b/internal/replica/publisher.go
@@ -5,26 +5,22 @@
 	"time"
 )
 
-// Publisher answers the reads of other nodes from a table. It is safe for
-// concurrent use.
+// Publisher answers the reads of other nodes from the table of a reader. It is
+// safe for concurrent use.
 type Publisher struct {
-	table *Table
-	// connected reports whether the node's own copy is up to date; see
-	// Reader.Connected.
-	connected func() bool
+	reader *Reader
 }
 
-// NewPublisher returns a publisher of a table. connected is called for each page.
-func NewPublisher(table *Table, connected func() bool) *Publisher {
-	return &Publisher{table: table, connected: connected}
-}
+// NewPublisher returns a publisher of a reader's table.
+func NewPublisher(r *Reader) *Publisher { return &Publisher{reader: r} }
 
-// Page returns the changes after a revision. If there are none, it waits for
-// changes up to wait, or until ctx ends. Without a wait it returns at once.
+// Page returns the changes after a revision. If there are none and the reader is
+// connected, it waits for changes, for the loss of the connection or for ctx to
+// end, at most for wait. The page says whether the reader is connected.
 func (p *Publisher) Page(ctx context.Context, afterRevision uint64, wait time.Duration) Page {
 	p.waitForChange(ctx, afterRevision, wait)
-	page := p.table.ChangesSince(afterRevision)
-	page.Fresh = p.connected()
+	page := p.reader.table.ChangesSince(afterRevision)
+	page.Fresh = p.reader.Connected()
 	return page
 }
 
@@ -35,7 +31,8 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case <-p.table.Changed(afterRevision):
+	case <-p.reader.table.Changed(afterRevision):
+	case <-p.reader.connectivity.disconnected():
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -14,9 +14,9 @@
 type Reader struct {
 	cfg   Config
 	table *Table
-	// connected is set by a successful read and cleared by a failed read of the
-	// platform. A failed read of the parent does not clear it.
-	connected atomic.Bool
+	// connectivity is confirmed by a successful read and lost by a failed read of
+	// the platform. A failed read of the parent does not lose it.
+	connectivity *connectivity
 	// listed is set while the table holds a complete list, so that reads may
 	// continue with a watch.
 	listed atomic.Bool
@@ -26,41 +26,25 @@
 	// directReadUntil is when the node may read from its parent again. Only
 	// the goroutine of runReads uses it.
 	directReadUntil time.Time
-	// disconnectedAt and reconnectedAt are when connected was last cleared and
-	// set, in Unix nanoseconds. disconnectedAt starts as the time of creation.
-	disconnectedAt, reconnectedAt atomic.Int64
-	// confirmedAt is when a read last succeeded, in Unix nanoseconds; zero
-	// before the first success.
-	confirmedAt atomic.Int64
 }
 
 // NewReader returns a reader for a table. Run starts it.
 func NewReader(cfg Config, table *Table) *Reader {
-	r := &Reader{cfg: cfg, table: table, peerHint: make(chan string, 1)}
-	r.disconnectedAt.Store(time.Now().UnixNano())
-	return r
+	return &Reader{cfg: cfg, table: table, peerHint: make(chan string, 1), connectivity: newConnectivity(time.Now())}
 }
 
 // Connected reports whether a read has succeeded since the last failed read of
 // the platform. A read of the parent node counts as a success if the parent is
 // connected itself.
-func (r *Reader) Connected() bool { return r.connected.Load() }
+func (r *Reader) Connected() bool { return r.connectivity.isConnected() }
 
 // ConfirmedAge returns the time since the last successful read, which confirmed
 // that the copy is up to date; zero before the first one.
-func (r *Reader) ConfirmedAge(now time.Time) time.Duration {
-	at := r.confirmedAt.Load()
-	if at == 0 {
-		return 0
-	}
-	return now.Sub(time.Unix(0, at))
-}
+func (r *Reader) ConfirmedAge(now time.Time) time.Duration { return r.connectivity.confirmedAge(now) }
 
 // Unstable reports whether the node is disconnected or reconnected only
 // recently. The platform may then lack entries that are about to be restored.
-func (r *Reader) Unstable(now time.Time) bool {
-	return !r.Connected() || now.UnixNano()-r.reconnectedAt.Load() < int64(unstableAfterOutage)
-}
+func (r *Reader) Unstable(now time.Time) bool { return r.connectivity.unstable(now) }
 
 // Run reads until the context ends, and returns once its goroutines have
 // stopped.
@@ -174,18 +158,14 @@
 
 // markDisconnected records and reports a failed read of the platform.
 func (r *Reader) markDisconnected(err error) {
-	if r.connected.Swap(false) || r.disconnectedAt.Load() == 0 {
-		r.disconnectedAt.Store(time.Now().UnixNano())
-	}
+	r.connectivity.lose(time.Now())
 	r.cfg.Observer.ReadFailed(err)
 }
 
 // markConnected records a successful read and reports the end of an outage.
 func (r *Reader) markConnected() {
-	r.confirmedAt.Store(time.Now().UnixNano())
-	if !r.connected.Swap(true) {
-		r.reconnectedAt.Store(time.Now().UnixNano())
-		r.cfg.Observer.Recovered(time.Since(time.Unix(0, r.disconnectedAt.Load())))
+	if outage, recovered := r.connectivity.confirm(time.Now()); recovered {
+		r.cfg.Observer.Recovered(outage)
 	}
 }
 
--- a/internal/replica/test_fleet_test.go
+++ b/internal/replica/test_fleet_test.go
@@ -34,7 +34,7 @@
 		Source: n.source, Peers: f, Observer: discardObserver{},
 		TreePosition: func() TreePosition { return TreePosition{Parent: parent} },
 	}, n.table)
-	n.publisher = NewPublisher(n.table, n.reader.Connected)
+	n.publisher = NewPublisher(n.reader)
 	f.nodes[name] = n
 	go n.reader.Run(t.Context())
 	return n
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -62,7 +62,7 @@
 		ObservePeerRevision: func(host string, revision uint64) { n.reader.ObservePeerRevision(client.ControlAddr(host), revision) },
 		Log:                 log.Named("call"), Metrics: mesh.NewMetrics(registry),
 	})
-	if err := n.listen(a, table, registry); err != nil {
+	if err := n.listen(a, registry); err != nil {
 		n.Close()
 		return nil, err
 	}
@@ -75,13 +75,13 @@
 
 // listen opens the ports for other nodes, for callers, for the readiness check
 // and, if set, for metrics.
-func (n *Node) listen(a Adapter, table *replica.Table, registry *prometheus.Registry) error {
+func (n *Node) listen(a Adapter, registry *prometheus.Registry) error {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+a.ReadyPath, n.serveReady)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET "+a.MetricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	var err error
-	if n.peerServer, err = peers.Listen(n.settings.Listen.Control, replica.NewPublisher(table, n.reader.Connected)); err != nil {
+	if n.peerServer, err = peers.Listen(n.settings.Listen.Control, replica.NewPublisher(n.reader)); err != nil {
 		return err
 	}
 	l := n.settings.Listen
