mesh: charge the second send after a broken reused connection to the retry budget

Cause: the second send of sendToUpstream asked no budget, so an upstream that breaks each reused connection gets each idempotent call twice.

The second send takes a token of the node's budget for the service. Without one the call ends as possibly run, and the entry node decides with its own budget.

--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -117,7 +117,8 @@
 }
 
 // sendToUpstream sends an admitted call to the upstream. An idempotent call is
-// sent a second time if a reused connection broke.
+// sent a second time if a reused connection broke and the retry budget permits
+// it.
 func (s *Server) sendToUpstream(ctx context.Context, q *request, self *instance.Instance) *result {
 	names := s.cfg.HeaderNames
 	out := q.outgoing()
@@ -126,7 +127,8 @@
 	out.Header[names.ExpectedInstance] = []string{self.ID}
 	resp, err := s.upstream.Do(ctx, s.cfg.UpstreamAddr, out)
 	var firstErr *httpconn.BrokenError
-	if !errors.As(err, &firstErr) || !firstErr.Reused || !q.idempotent() || q.bodyTail != nil || ctx.Err() != nil {
+	if !errors.As(err, &firstErr) || !firstErr.Reused || !q.idempotent() || q.bodyTail != nil || ctx.Err() != nil ||
+		!s.budgets.TakeToken(time.Now(), s.cfg.Service, 0, q.rank.Order) {
 		return s.exchangeResult(ctx, q, resp, err)
 	}
 	// The upstream may have closed the idle connection while the request was
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -62,7 +62,7 @@
 	if !a.Deadline.IsZero() && now.Add(delay+a.ExpectedDuration).After(a.Deadline) {
 		return Decision{Reason: ReasonDeadline}
 	}
-	if !a.Transparent && !b.takeToken(now, &a) {
+	if !a.Transparent && !b.TakeToken(now, a.Service, a.Depth, a.RankOrder) {
 		return Decision{Reason: ReasonBudget}
 	}
 	reason := ReasonIdempotent
@@ -72,11 +72,14 @@
 	return Decision{Retry: true, Delay: delay, Reason: reason}
 }
 
-func (b *Budgets) takeToken(now time.Time, a *FailedAttempt) bool {
-	s := b.shard(a.Service)
+// TakeToken takes a token for a further arrival of a call at a service and
+// reports whether it did. Decide calls it for retries; a call that is sent again
+// without such a decision needs a token as well.
+func (b *Budgets) TakeToken(now time.Time, service string, depth, rankOrder int) bool {
+	s := b.shard(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budgetFor(a.Service).takeToken(now, a.Depth, a.RankOrder)
+	return s.budgetFor(service).takeToken(now, depth, rankOrder)
 }
 
 // denialReason returns why the call must not be retried regardless of deadline
--- a/internal/retry/budgets_test.go
+++ b/internal/retry/budgets_test.go
@@ -103,7 +103,7 @@
 		b.RecordFirstAttempt(start, "s", policy, 0, false)
 	}
 	later, tokens := start.Add(time.Hour), 0
-	for b.takeToken(later, &FailedAttempt{Service: "s"}) {
+	for b.TakeToken(later, "s", 0, 0) {
 		tokens++
 	}
 	if tokens != outermostReserve {
