replica: do not lose deletions that a complete list skipped

Cause: a node that had just started listed all items at revision 24. The list holds no trace of the removal at 23, but its neighbours, at 22, took its answer for all changes after 22 and continued at 24. No node of their region ever learned of the removal.

A table remembers the gaps that complete lists left and passes them on with its changes; a copy within a gap gets a complete list. Items newer than their list are left to the watch that follows, and a second list counts the first as uncertain. Ruled out: cut readers (they read each second) and a long grace period (the removal was never applied).

--- a/internal/replica/peers/decompressor.go
+++ b/internal/replica/peers/decompressor.go
@@ -19,7 +19,7 @@
 // decompressPage converts a wirePage and decompresses its values. It returns a
 // *CodecError.
 func (d *decompressor) decompressPage(p *wirePage) (replica.Page, error) {
-	out := replica.Page{Revision: p.Revision, Fresh: p.Fresh}
+	out := replica.Page{Complete: p.Complete, Gaps: p.Gaps, Revision: p.Revision, Fresh: p.Fresh}
 	for _, i := range p.Items {
 		value, err := d.decompressValue(&i)
 		if err != nil {
--- a/internal/replica/peers/server.go
+++ b/internal/replica/peers/server.go
@@ -94,7 +94,7 @@
 	}
 	wait := min(time.Duration(p.WaitMs)*time.Millisecond, maxWait)
 	page := s.publisher.Page(ctx, p.AfterRevision, wait)
-	out := wirePage{Revision: page.Revision, Fresh: page.Fresh}
+	out := wirePage{Complete: page.Complete, Gaps: page.Gaps, Revision: page.Revision, Fresh: page.Fresh}
 	for _, i := range page.Items {
 		out.Items = append(out.Items, s.compressor.compress(i))
 	}
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -11,7 +11,8 @@
 // types of their own.
 type Source interface {
 	// List returns all items. Keys that changed while it ran may have the old
-	// or the new value; the page's revision precedes the first of these changes.
+	// or the new value or be missing; the page's revision precedes the first of
+	// these changes.
 	List(ctx context.Context) (Page, error)
 	// Watch waits up to wait for changes after a revision. It returns a page
 	// without items if there were none.
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -11,6 +12,9 @@
 // each upstream.
 const tableShards = 32
 
+// maxGaps bounds the number of separate gaps of a table.
+const maxGaps = 16
+
 // Table is the node's copy of the published items. It is safe for concurrent
 // use.
 type Table struct {
@@ -24,6 +28,12 @@
 	mu sync.Mutex
 	// changed is closed and replaced when revision advances.
 	changed chan struct{}
+	// gaps holds the ranges of revisions in which the table lacks deletions,
+	// because a complete list skipped them. It is guarded by mu.
+	gaps []Gap
+	// listedRevision is the revision of the latest complete list. It is guarded
+	// by mu.
+	listedRevision uint64
 	// onChange is called with each applied change, one at a time.
 	onChange func(Item)
 }
@@ -43,37 +53,70 @@
 // Revision returns the revision up to which the table is complete.
 func (t *Table) Revision() uint64 { return t.revision.Load() }
 
-// Merge applies the changes that are newer than the table's items and returns
-// their number.
+// Merge applies a page that was requested with a revision of this table: its
+// changes, or its complete list, that are newer than the table's items. It
+// returns the number of applied changes.
 func (t *Table) Merge(p Page) int {
+	if p.Complete {
+		return t.Replace(p)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	applied := t.putNewer(p.Items)
+	for _, g := range p.Gaps {
+		t.addGap(g)
+	}
 	t.advance(p.Revision)
 	return applied
 }
 
 // Replace applies a complete list and returns the number of applied changes. Keys
-// missing from the list are marked as deleted, unless they changed after the
-// list's revision.
+// missing from the list are marked as deleted, unless they changed at or after the
+// list's revision. Items that are newer than the list are left out: the changes
+// after its revision follow, and the table must not hold keys whose deletions a
+// gap could skip.
 func (t *Table) Replace(p Page) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	listed := make(map[string]bool, len(p.Items))
+	items := make([]Item, 0, len(p.Items))
 	for _, i := range p.Items {
 		listed[i.Key] = true
+		if i.Revision <= p.Revision {
+			items = append(items, i)
+		}
 	}
-	items := p.Items
 	for _, i := range t.itemsAfter(0) {
-		if !i.Deleted && !listed[i.Key] && i.Revision <= p.Revision {
-			items = append(items, Item{Key: i.Key, Revision: max(p.Revision, i.Revision+1), Deleted: true})
+		if !i.Deleted && !listed[i.Key] && i.Revision < p.Revision {
+			items = append(items, Item{Key: i.Key, Revision: p.Revision, Deleted: true})
 		}
 	}
 	applied := t.putNewer(items)
+	after := t.revision.Load()
+	if after > 0 && after == t.listedRevision {
+		// Keys that were deleted during the last list may be missing from it.
+		after--
+	}
+	t.addGap(Gap{After: after, Until: p.Revision})
+	t.listedRevision = max(t.listedRevision, p.Revision)
 	t.advance(p.Revision)
 	return applied
 }
 
+// addGap records a gap unless it is empty or known. The oldest gaps are joined,
+// since each compaction of the platform's history adds one. The caller holds mu.
+func (t *Table) addGap(g Gap) {
+	if g.After >= g.Until || slices.Contains(t.gaps, g) {
+		return
+	}
+	t.gaps = append(t.gaps, g)
+	if len(t.gaps) > maxGaps {
+		oldest, next := t.gaps[0], &t.gaps[1]
+		next.After, next.Until = min(oldest.After, next.After), max(oldest.Until, next.Until)
+		t.gaps = t.gaps[1:]
+	}
+}
+
 // advance raises the table's revision and closes the channel that Changed
 // returned. The caller holds mu.
 func (t *Table) advance(revision uint64) {
@@ -112,11 +155,33 @@
 }
 
 // ChangesSince returns the items changed after a revision, including deleted
-// ones.
+// ones, and the gaps after it. If the table may lack the deletion of a key that a
+// copy at that revision holds, it returns a complete list instead.
 func (t *Table) ChangesSince(afterRevision uint64) Page {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Page{Items: t.itemsAfter(afterRevision), Revision: t.revision.Load()}
+	page := Page{Revision: t.revision.Load()}
+	for _, g := range t.gaps {
+		if g.contains(afterRevision) {
+			return t.completePage()
+		}
+		if g.Until > afterRevision {
+			page.Gaps = append(page.Gaps, g)
+		}
+	}
+	page.Items = t.itemsAfter(afterRevision)
+	return page
+}
+
+// completePage returns a list of all items. The caller holds mu.
+func (t *Table) completePage() Page {
+	page := Page{Complete: true, Revision: t.revision.Load()}
+	for _, i := range t.itemsAfter(0) {
+		if !i.Deleted {
+			page.Items = append(page.Items, i)
+		}
+	}
+	return page
 }
 
 func (t *Table) itemsAfter(afterRevision uint64) []Item {
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -57,3 +58,55 @@
 		t.Errorf("present keys are %v, want new and kept only", got)
 	}
 }
+
+// Guards against keys that stay in one node's table after their deletion, in
+// whatever order nodes list all items, watch and read from each other.
+func TestTablesForgetDeletedKeysWhateverTheSource(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		platform := newTestPlatform()
+		tables := make([]*Table, 4)
+		for i := range tables {
+			tables[i] = NewTable(func(Item) {})
+		}
+		index := rapid.IntRange(0, len(tables)-1)
+		put := func() {
+			platform.put(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key"), rapid.Bool().Draw(t, "deleted"))
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			table := tables[index.Draw(t, "table")]
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				put()
+			case 1:
+				// The second part of the list is read after a further change.
+				page, _ := platform.pageAfter(0, true)
+				put()
+				rest, _ := platform.pageAfter(0, true)
+				first := func(i Item) bool { return i.Key < "c" }
+				page.Items = append(slices.DeleteFunc(page.Items, func(i Item) bool { return !first(i) }), slices.DeleteFunc(rest.Items, first)...)
+				table.Replace(page)
+			case 2:
+				if table.Revision() > 0 {
+					page, _ := platform.pageAfter(table.Revision(), false)
+					table.Merge(page)
+				}
+			case 3:
+				table.Merge(tables[index.Draw(t, "peer")].ChangesSince(table.Revision()))
+			}
+		}
+		for n, table := range tables {
+			at, held := table.Revision(), map[string]Item{}
+			for _, i := range table.ChangesSince(0).Items {
+				held[i.Key] = i
+			}
+			for key, now := range platform.items {
+				if now.Revision > at {
+					continue
+				}
+				if got := held[key]; now.Deleted && got.Revision > 0 && !got.Deleted || !now.Deleted && got.Revision != now.Revision {
+					t.Fatalf("table %d at revision %d holds %s as %+v, want %+v", n, at, key, got, now)
+				}
+			}
+		}
+	})
+}
