--- a/internal/mesh/header_names.go
+++ b/internal/mesh/header_names.go
@@ -15,6 +15,11 @@
 	ExpectedInstance string
 	// NotRun is set on an upstream's response if it did not run the request.
 	NotRun string
+	// CallLimit holds the calls per second that an upstream in need takes from
+	// all nodes together. The limit applies until a response lacks the header.
+	CallLimit string
+	// Leaving is set on all responses of an upstream that is leaving.
+	Leaving string
 	// CallerService names the service on whose VM a request originated.
 	CallerService string
 }
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -28,7 +28,7 @@
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
-var headerNames = mesh.HeaderNames{AttemptID: "Id", TimeLeft: "Left", Seal: "Seal", ExpectedInstance: "Want", NotRun: "Not-Run", CallerService: "Caller"}
+var headerNames = mesh.HeaderNames{AttemptID: "Id", TimeLeft: "Left", Seal: "Seal", ExpectedInstance: "Want", NotRun: "Not-Run", CallLimit: "Limit", Leaving: "Leaving", CallerService: "Caller"}
 
 // store is an in-memory stand-in for the platform's store.
 type store struct {
