mesh: keep the limit of calls per second that an upstream names

Cause: no node read the header; the node beside an upstream admitted calls by slots and connections only.

That node is the only way to the upstream, so it alone can keep the limit exactly. It reads the limit from each response of its upstream, and the scheduler of its admission starts that many calls a second, most urgent first; waits and refusals follow from the lower rate, and the load report carries the limit to the senders. A second send after a broken connection counts as well.

TestUpstreamNearItsNamedLimitIsAvoided: 47 of 100 choices went to the upstream at its limit before, at most 10 now.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -41,7 +41,7 @@
 	if !g.table.Load().containsRanks(limits.Ranks) {
 		g.table.Store(g.table.Load().withRanks(limits.Ranks))
 	}
-	g.scheduler.setLimits(limits)
+	g.scheduler.setLimits(now, limits)
 	g.maxWaiting.Store(int64(limits.maxWaiting()))
 	g.tableMu.Unlock()
 	g.dispatch(now)
@@ -249,10 +249,30 @@
 	g.dispatch(now)
 }
 
+// PaceDelay returns how long the named limit of calls per second delays the first
+// waiting call, and false if no call waits for it. After the delay, the caller
+// must call Dispatch.
+func (g *Gate) PaceDelay(now time.Time) (time.Duration, bool) {
+	if g.waiting.Load() == 0 {
+		return 0, false
+	}
+	return g.scheduler.paceDelay(now)
+}
+
+// Dispatch grants free slots to waiting tickets; see PaceDelay.
+func (g *Gate) Dispatch(now time.Time) { g.dispatch(now) }
+
+// AllowRepeat reports whether a call that holds a slot may be sent to the upstream
+// once more under the named limit, and counts it.
+func (g *Gate) AllowRepeat(now time.Time) bool { return g.scheduler.takePace(now) }
+
 // Report returns the current load, which is sent along with responses.
 func (g *Gate) Report() LoadReport {
 	limits, running := g.scheduler.snapshot()
-	return LoadReport{Running: running, Waiting: int(g.waiting.Load()), Slots: limits.Slots, Draining: g.draining.Load()}
+	return LoadReport{
+		Running: running, Waiting: int(g.waiting.Load()), Slots: limits.Slots, CallsPerSecond: limits.CallsPerSecond,
+		Draining: g.draining.Load(),
+	}
 }
 
 // ServiceTime returns how long a call of a rank is expected to run.
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/call"
 )
 
+// minPaceDelay is the shortest delay of a timer that waits for the limit of calls
+// per second.
+const minPaceDelay = time.Millisecond
+
 // Limiter blocks goroutines until a Gate grants or refuses their calls. It is
 // safe for concurrent use.
 type Limiter struct {
@@ -20,6 +25,9 @@
 	// mu guards limits.
 	mu     sync.Mutex
 	limits Limits
+	// paceTimerSet is set while a timer is pending that grants slots to calls
+	// that wait for the limit of calls per second.
+	paceTimerSet atomic.Bool
 }
 
 // NewLimiter returns a limiter for an upstream with a number of slots.
@@ -68,15 +76,37 @@
 	t := &Ticket{Rank: c.Rank, Deadline: c.Deadline, SoftDeadline: c.SoftDeadline, outcome: l.outcomePool.Get().(chan error)}
 	granted, err := l.gate.Submit(l.now(), t)
 	if err == nil && !granted {
+		l.startPaceTimer()
 		err = l.wait(ctx, t)
 	}
 	l.outcomePool.Put(t.outcome)
 	if err != nil {
 		return nil, err
 	}
-	return func() { l.gate.Release(l.now(), t) }, nil
+	return func() {
+		l.gate.Release(l.now(), t)
+		l.startPaceTimer()
+	}, nil
 }
 
+// startPaceTimer starts a timer for the first call that waits for the limit of
+// calls per second, unless there is none or a timer is pending.
+func (l *Limiter) startPaceTimer() {
+	delay, waits := l.gate.PaceDelay(l.now())
+	if !waits || l.paceTimerSet.Swap(true) {
+		return
+	}
+	time.AfterFunc(max(delay, minPaceDelay), func() {
+		l.paceTimerSet.Store(false)
+		l.gate.Dispatch(l.now())
+		l.startPaceTimer()
+	})
+}
+
+// AllowRepeat reports whether a call that holds a slot may be sent to the upstream
+// once more under the limit of calls per second, and counts it.
+func (l *Limiter) AllowRepeat() bool { return l.gate.AllowRepeat(l.now()) }
+
 // wait blocks until t is granted or refused, ctx ends or it is too late for the
 // call to start. It leaves t.outcome empty, so that the channel can be reused.
 func (l *Limiter) wait(ctx context.Context, t *Ticket) error {
--- a/internal/admission/limits.go
+++ b/internal/admission/limits.go
@@ -14,6 +14,9 @@
 	// them holds a connection. If it is zero, defaultMaxWaiting bounds the
 	// waiting calls.
 	Connections int
+	// CallsPerSecond is the number of calls per second that the upstream takes;
+	// zero if it names no limit.
+	CallsPerSecond float64
 	// Ranks lists the ranks with their order, floor and target. A rank that is
 	// not listed is added when its first call arrives.
 	Ranks []*config.Rank
@@ -38,5 +41,5 @@
 }
 
 func (l Limits) equal(other Limits) bool {
-	return l.Slots == other.Slots && l.Connections == other.Connections && slices.Equal(l.Ranks, other.Ranks)
+	return l.Slots == other.Slots && l.Connections == other.Connections && l.CallsPerSecond == other.CallsPerSecond && slices.Equal(l.Ranks, other.Ranks)
 }
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -10,6 +10,7 @@
 	// mu guards the other fields and the usage of all ranks.
 	mu      sync.Mutex
 	limits  Limits
+	pace    pace
 	running int
 	// advancedAt is the time up to which the usage of the ranks is counted.
 	advancedAt time.Time
@@ -18,7 +19,7 @@
 }
 
 // reserve takes a free slot for the next rank and returns the rank, or nil if
-// no slot is free or no call waits.
+// no slot is free, no call waits or the pace permits no call yet.
 func (s *scheduler) reserve(now time.Time, table *rankTable) *rankEntry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -26,8 +27,8 @@
 		return nil
 	}
 	s.advance(now, table)
-	next := s.nextRank(table)
-	if next == nil {
+	next := s.nextRank(now, table)
+	if next == nil || !s.pace.take(now) {
 		return nil
 	}
 	s.running++
@@ -40,7 +41,7 @@
 func (s *scheduler) tryReserve(now time.Time, table *rankTable, e *rankEntry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running >= s.limits.maxRunning() || table.anyWaitingExcept(nil) {
+	if s.running >= s.limits.maxRunning() || table.anyWaitingExcept(nil) || !s.pace.take(now) {
 		return false
 	}
 	s.advance(now, table)
@@ -51,7 +52,7 @@
 
 // nextRank returns the rank with waiting calls that is furthest behind its floor
 // or, if none is behind, the most urgent one.
-func (s *scheduler) nextRank(table *rankTable) *rankEntry {
+func (s *scheduler) nextRank(now time.Time, table *rankTable) *rankEntry {
 	var mostUrgent, mostBehind *rankEntry
 	var maxBehind float64
 	for _, e := range table.ordered {
@@ -61,7 +62,7 @@
 		if mostUrgent == nil {
 			mostUrgent = e
 		}
-		if e.rank.Floor <= 0 || e.usage.credit <= 0 || float64(e.usage.running) >= s.floorSlots(e) {
+		if e.rank.Floor <= 0 || e.usage.credit <= 0 || float64(e.usage.running) >= s.floorSlots(now, e) {
 			continue
 		}
 		if behind := e.usage.credit / e.rank.Floor; behind > maxBehind {
@@ -76,7 +77,18 @@
 
 // floorSlots returns a rank's floor in slots. A fractional floor is met on
 // average: the rank runs one more call while its credit is positive.
-func (s *scheduler) floorSlots(e *rankEntry) float64 { return e.rank.Floor * float64(s.limits.Slots) }
+func (s *scheduler) floorSlots(now time.Time, e *rankEntry) float64 {
+	return e.rank.Floor * s.pacedSlots(float64(s.limits.Slots), e.usage.service.estimate(now))
+}
+
+// pacedSlots returns how many of the slots the pace lets calls of the given
+// service time occupy on average.
+func (s *scheduler) pacedSlots(slots float64, service time.Duration) float64 {
+	if !s.pace.limited() || service <= 0 {
+		return slots
+	}
+	return min(slots, s.pace.perSecond*service.Seconds())
+}
 
 // advance brings the usage of all ranks up to now.
 func (s *scheduler) advance(now time.Time, table *rankTable) {
@@ -87,7 +99,7 @@
 	s.advancedAt = now
 	for _, e := range table.ordered {
 		if e.rank.Floor > 0 {
-			e.usage.advance(now, s.floorSlots(e), !e.queueEmpty(), table.anyWaitingExcept(e), elapsed)
+			e.usage.advance(now, s.floorSlots(now, e), !e.queueEmpty(), table.anyWaitingExcept(e), elapsed)
 		} else {
 			e.usage.updateMeanRunning(elapsed)
 		}
@@ -95,7 +107,7 @@
 }
 
 // release frees a slot of e. A positive runTime is a sample of the service time;
-// zero means that no call ran.
+// zero means that no call ran, so that the next one need not wait for the pace.
 func (s *scheduler) release(now time.Time, table *rankTable, e *rankEntry, runTime time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,6 +116,8 @@
 	e.usage.removeRunning(s.sinceBase(now) - runTime)
 	if runTime > 0 {
 		e.usage.service.observe(now, runTime)
+	} else {
+		s.pace.giveBack()
 	}
 }
 
@@ -116,12 +130,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	service = s.serviceTime(now, e)
-	slots := float64(s.limits.maxRunning())
+	slots := s.pacedSlots(float64(s.limits.maxRunning()), service)
 	if slots == 0 {
 		return service, 0
 	}
+	if service == 0 && s.pace.limited() {
+		return service, s.pace.untilNext(now) + time.Duration(float64(moreUrgent+sameRank)/s.pace.perSecond*float64(time.Second))
+	}
 	perCall := float64(service)
-	availableSlots := slots * (1 - table.lessUrgentFloors(e)) * (1 - s.moreUrgentSlots(table, e)/slots)
+	availableSlots := slots * (1 - table.lessUrgentFloors(e)) * (1 - s.moreUrgentSlots(table, e, slots)/slots)
 	waitByOrder := perCall * float64(moreUrgent+sameRank+1) / availableSlots
 	if e.rank.Floor > 0 {
 		waitByFloor := perCall * float64(sameRank+1) / (slots * e.rank.Floor)
@@ -149,18 +166,18 @@
 	return now.Sub(s.base)
 }
 
-// moreUrgentSlots returns the recent mean number of slots used by ranks more
-// urgent than e, whose later calls will overtake a waiting call of e. If it were
+// moreUrgentSlots returns the recent mean number of the available slots used by
+// ranks more urgent than e, whose later calls will overtake a waiting call of e. If it were
 // ignored, less urgent calls would be accepted in a shortage and wait until their
 // deadline.
-func (s *scheduler) moreUrgentSlots(table *rankTable, e *rankEntry) float64 {
+func (s *scheduler) moreUrgentSlots(table *rankTable, e *rankEntry, available float64) float64 {
 	slots := 0.0
 	for _, other := range table.ordered {
 		if other.rank.Order < e.rank.Order {
 			slots += other.usage.meanRunning
 		}
 	}
-	return min(slots, maxMoreUrgentShare*float64(s.limits.maxRunning()))
+	return min(slots, maxMoreUrgentShare*available)
 }
 
 // maxMoreUrgentShare keeps a forecast finite if more urgent ranks use all slots.
@@ -173,10 +190,30 @@
 	return e.usage.service.meanDeviation(now)
 }
 
-func (s *scheduler) setLimits(limits Limits) {
+func (s *scheduler) setLimits(now time.Time, limits Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limits = limits
+	s.pace.set(now, limits.CallsPerSecond)
+}
+
+// takePace counts a call that starts without a slot of its own and reports
+// whether the pace permits it.
+func (s *scheduler) takePace(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pace.take(now)
+}
+
+// paceDelay returns how long the pace delays the next call, and false if nothing
+// but a free slot delays it.
+func (s *scheduler) paceDelay(now time.Time) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.pace.limited() || s.running >= s.limits.maxRunning() {
+		return 0, false
+	}
+	return s.pace.untilNext(now), true
 }
 
 func (s *scheduler) snapshot() (limits Limits, running int) {
--- a/internal/call/headers.go
+++ b/internal/call/headers.go
@@ -31,8 +31,8 @@
 	// HeaderLoad is set by the node beside the upstream on responses to other
 	// nodes. It holds the numbers of running calls, waiting calls and slots.
 	// Package dataplane appends 1 if the upstream is leaving, else 0. Package
-	// mesh appends the backlog of the VM's link in milliseconds and the rate of
-	// the link in bytes per second.
+	// mesh appends the backlog of the VM's link in milliseconds, the rate of the
+	// link in bytes per second and the upstream's limit of calls per second.
 	HeaderLoad = "Filbertpier-Load"
 	// HeaderCall identifies one attempt between two nodes; the response echoes it.
 	HeaderCall = "Filbertpier-Call"
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -86,12 +86,14 @@
 }
 
 // decodeLoad decodes call.HeaderLoad, which holds the number of running and of
-// waiting calls, the slots, the link's backlog in milliseconds and its rate in
-// bytes per second. It returns nil if the text is malformed.
+// waiting calls, the slots, the link's backlog in milliseconds, its rate in bytes
+// per second and the limit of calls per second, which nodes of earlier builds
+// omit. It returns nil if the text is malformed.
 func decodeLoad(text string) *placement.Load {
 	var l placement.Load
 	var backlogMs int64
-	if n, _ := fmt.Sscanf(text, "%d %d %d %d %d", &l.Running, &l.Waiting, &l.Slots, &backlogMs, &l.LinkBytesPerSecond); n != 5 {
+	n, _ := fmt.Sscanf(text, "%d %d %d %d %d %g", &l.Running, &l.Waiting, &l.Slots, &backlogMs, &l.LinkBytesPerSecond, &l.CallsPerSecond)
+	if n < 5 {
 		return nil
 	}
 	l.LinkBacklog = time.Duration(backlogMs) * time.Millisecond
@@ -110,8 +112,8 @@
 func (s *Server) encodeResult(h http.Header, res *result) {
 	h[headerResult] = []string{res.kind.String()}
 	if res.load != nil {
-		h[call.HeaderLoad] = []string{fmt.Sprintf("%d %d %d %d %d", res.load.Running, res.load.Waiting, res.load.Slots,
-			res.load.LinkBacklog.Milliseconds(), res.load.LinkBytesPerSecond)}
+		h[call.HeaderLoad] = []string{fmt.Sprintf("%d %d %d %d %d %g", res.load.Running, res.load.Waiting, res.load.Slots,
+			res.load.LinkBacklog.Milliseconds(), res.load.LinkBytesPerSecond, res.load.CallsPerSecond)}
 	}
 	h[headerTimes] = []string{strconv.FormatInt(res.runTime.Microseconds(), 10) + " " + strconv.FormatInt(res.nodeTime.Microseconds(), 10)}
 	h[headerRevision] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -68,7 +68,7 @@
 func (s *Server) load() *placement.Load {
 	report := s.limiter.Report()
 	return &placement.Load{
-		Running: report.Running, Waiting: report.Waiting, Slots: report.Slots,
+		Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, CallsPerSecond: report.CallsPerSecond,
 		LinkBacklog: s.link.Backlog(), LinkBytesPerSecond: s.cfg.LinkBytesPerSecond,
 	}
 }
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -79,14 +79,15 @@
 	return self, nil
 }
 
-// updateLimits applies the slots that the upstream announces, and the ranks and
-// the connection limit of the current configuration version.
+// updateLimits applies the slots that the upstream announces, the limit that it
+// names, and the ranks and the connection limit of the current configuration
+// version.
 func (s *Server) updateLimits(self *instance.Instance) {
 	snap := s.cfg.Store.Current()
 	if snap == nil {
 		return
 	}
-	limits := admission.Limits{Slots: self.Slots, Ranks: snap.Document.Ranks()}
+	limits := admission.Limits{Slots: self.Slots, Ranks: snap.Document.Ranks(), CallsPerSecond: s.namedLimit.get(self)}
 	if service, ok := snap.Document.Service(s.cfg.Service); ok {
 		limits.Connections = service.Connections
 	}
@@ -117,8 +118,8 @@
 }
 
 // sendToUpstream sends an admitted call to the upstream. An idempotent call is
-// sent a second time if a reused connection broke and the retry budget permits
-// it.
+// sent a second time if a reused connection broke and the limit that the upstream
+// names and the retry budget permit it.
 func (s *Server) sendToUpstream(ctx context.Context, q *request, self *instance.Instance) *result {
 	names := s.cfg.HeaderNames
 	out := q.outgoing()
@@ -128,15 +129,15 @@
 	resp, err := s.upstream.Do(ctx, s.cfg.UpstreamAddr, out)
 	var firstErr *httpconn.BrokenError
 	if !errors.As(err, &firstErr) || !firstErr.Reused || !q.idempotent() || q.bodyTail != nil || ctx.Err() != nil ||
-		!s.budgets.TakeToken(time.Now(), s.cfg.Service, 0, q.rank.Order) {
-		return s.exchangeResult(ctx, q, resp, err)
+		!s.limiter.AllowRepeat() || !s.budgets.TakeToken(time.Now(), s.cfg.Service, 0, q.rank.Order) {
+		return s.exchangeResult(ctx, q, self, resp, err)
 	}
 	// The upstream may have closed the idle connection while the request was
 	// sent, or crashed while it ran the call. The first request therefore counts
 	// as possibly run even if the second one is not run.
 	s.cfg.Metrics.Resends.Inc()
 	resp, err = s.upstream.Do(ctx, s.cfg.UpstreamAddr, out)
-	res := s.exchangeResult(ctx, q, resp, err)
+	res := s.exchangeResult(ctx, q, self, resp, err)
 	if res.kind == ResultNotRun {
 		return broken(ReasonConnectionBroken, firstErr.Error()+", then "+res.detail)
 	}
@@ -145,11 +146,11 @@
 
 // exchangeResult converts the response or the error of an exchange into a
 // result.
-func (s *Server) exchangeResult(ctx context.Context, q *request, resp *httpconn.Response, err error) *result {
+func (s *Server) exchangeResult(ctx context.Context, q *request, self *instance.Instance, resp *httpconn.Response, err error) *result {
 	if err != nil {
 		return s.errorResult(ctx, err)
 	}
-	return s.responseResult(ctx, q, resp)
+	return s.responseResult(ctx, q, self, resp)
 }
 
 // errorResult classifies an exchange without a response. If no connection could
@@ -178,7 +179,7 @@
 }
 
 // responseResult checks that a response comes from the upstream and buffers it.
-func (s *Server) responseResult(ctx context.Context, q *request, resp *httpconn.Response) *result {
+func (s *Server) responseResult(ctx context.Context, q *request, self *instance.Instance, resp *httpconn.Response) *result {
 	names := s.cfg.HeaderNames
 	if resp.Header.Get(names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		_, err := io.Copy(io.Discard, resp.Body)
@@ -186,6 +187,8 @@
 		reason := ReasonShed
 		if resp.Status == http.StatusMisdirectedRequest {
 			reason = ReasonOtherInstance
+		} else {
+			s.observeCallLimit(self, resp.Header)
 		}
 		res := notRun(reason, "status "+strconv.Itoa(resp.Status))
 		if err != nil {
@@ -199,9 +202,24 @@
 		_ = resp.Body.Close()
 		return broken(ReasonInvalidResponse, fault)
 	}
+	s.observeCallLimit(self, resp.Header)
 	return s.bufferResponse(ctx, q, resp)
 }
 
+// observeCallLimit applies the limit of calls per second that a response of the
+// upstream names, or removes it if the response names none.
+func (s *Server) observeCallLimit(self *instance.Instance, h http.Header) {
+	limit, err := parseCallLimit(h.Get(s.cfg.HeaderNames.CallLimit))
+	if err != nil {
+		s.cfg.Log.Warn("limit named by the upstream refused", "instance", self.ID, "error", err.Error())
+		return
+	}
+	if s.namedLimit.set(self, limit) {
+		s.updateLimits(self)
+		s.cfg.Log.Info("upstream names a limit", "instance", self.ID, "calls_per_second", limit)
+	}
+}
+
 // invalidReason returns why a response cannot be the upstream's response to
 // this call, or an empty string.
 func (s *Server) invalidReason(q *request, resp *httpconn.Response) string {
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -41,6 +41,8 @@
 	downUntil atomic.Int64
 	// misdirected is the instance that the upstream refused to be.
 	misdirected misdirection
+	// namedLimit is the limit that the upstream's last response named.
+	namedLimit namedLimit
 }
 
 // NewServer returns a server; the caller must start Run.
--- a/internal/placement/chooser_test.go
+++ b/internal/placement/chooser_test.go
@@ -146,3 +146,23 @@
 		t.Errorf("after recovery: choices %v, want some on a", got)
 	}
 }
+
+// Guards against sending an upstream calls beyond the limit that it names, where
+// they wait although another one has free slots.
+func TestUpstreamNearItsNamedLimitIsAvoided(t *testing.T) {
+	c, now := NewChooser(), start
+	limited, free := newInstance("limited", "z", "r"), newInstance("free", "z", "r")
+	for range 50 {
+		for _, i := range []*instance.Instance{limited, free} {
+			load := &Load{Running: 2, Slots: 4}
+			if i == limited {
+				load.CallsPerSecond = 20
+			}
+			c.Start(now, i)
+			c.Finish(now, i, Outcome{Kind: Completed, ServiceTime: 100 * time.Millisecond, Load: load})
+		}
+	}
+	if got := chosenOf100(c, now, query(limited, free)); got["limited"] > 10 {
+		t.Errorf("chosen: %v, want at most 10 for the upstream that is at its limit", got)
+	}
+}
--- a/internal/placement/instance_stats.go
+++ b/internal/placement/instance_stats.go
@@ -37,6 +37,8 @@
 	// maxUtilization caps the utilization in the queueing formula, which has no
 	// finite result at 1.
 	maxUtilization = 0.97
+	// minUsableSlots keeps expected times finite.
+	minUsableSlots = 0.01
 )
 
 // instanceStats holds what this node has observed of one instance. It is guarded
@@ -125,7 +127,7 @@
 	if a := &s.serviceTime[rankClass(order)]; a.initialized {
 		serviceTime = a.mean
 	}
-	queueTime := s.queueTime(now, max(slots, 1), serviceTime)
+	queueTime := s.queueTime(now, s.usableSlots(max(slots, 1), serviceTime), serviceTime)
 	failures := min(s.failureShareAt(now), 0.9)
 	return serviceTime + queueTime + failures/(1-failures)*failureCost.Seconds()
 }
@@ -135,18 +137,27 @@
 // instance, according to its load reports or this node's outstanding calls. The
 // second is the mean wait at the average load, by Sakasegawa's approximation for
 // M/M/c queues.
-func (s *instanceStats) queueTime(now time.Time, slots int, serviceTime float64) float64 {
+func (s *instanceStats) queueTime(now time.Time, slots, serviceTime float64) float64 {
 	age := now.Sub(s.loadAt)
 	mean := s.meanLoad * decay(age, loadHalfLife)
 	reported := float64(s.load.Running + s.load.Waiting)
 	current := mean + (reported-mean)*math.Exp(-age.Seconds()/loadReportDecay.Seconds())
 	current = max(current, float64(s.outstanding))
-	queued := max(0, current+1-float64(slots)) * serviceTime / float64(slots)
-	utilization := min(max(mean, float64(s.outstanding))/float64(slots), maxUtilization)
-	steady := math.Pow(utilization, math.Sqrt(2*float64(slots+1))-1) / (1 - utilization) * serviceTime / float64(slots)
+	queued := max(0, current+1-slots) * serviceTime / slots
+	utilization := min(max(mean, float64(s.outstanding))/slots, maxUtilization)
+	steady := math.Pow(utilization, math.Sqrt(2*(slots+1))-1) / (1 - utilization) * serviceTime / slots
 	return max(queued, steady)
 }
 
+// usableSlots returns how many slots calls of the given service time can occupy
+// on average under the limit of calls per second that the instance reported.
+func (s *instanceStats) usableSlots(slots int, serviceTime float64) float64 {
+	if s.load.CallsPerSecond <= 0 {
+		return float64(slots)
+	}
+	return min(float64(slots), max(s.load.CallsPerSecond*serviceTime, minUsableSlots))
+}
+
 // decay returns the weight of an observation of the given age, 1 for a new one.
 func decay(age, halfLife time.Duration) float64 {
 	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -9,4 +9,6 @@
 	// LinkBytesPerSecond is its bandwidth; zero means unlimited.
 	LinkBacklog        time.Duration
 	LinkBytesPerSecond int
+	// CallsPerSecond is the limit that the instance names; zero if it names none.
+	CallsPerSecond float64
 }
