Send no new calls to an upstream that says in its responses that it leaves

The users' new rule: once a node has passed on a response with Server-Leaving, no request that begins there may reach that upstream later than drain_ms after it. Cause: no node read the header, only the list of the platform.

The directory of upstreams keeps what an instance said of itself: it counts as draining, whatever the platform lists, until it starts again. The node beside the upstream and each node that passes on such a response record it, so a restart of one of them does not take it back. Methods that change the directory are serialized, as calls change it now.

--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,8 +17,14 @@
 const goneRetention = 10 * time.Second
 
 // Directory indexes the published instances by service, id and address. It is
-// safe for concurrent use, but only one goroutine at a time may call Put or Lapse.
+// safe for concurrent use.
 type Directory struct {
+	// changes serializes the methods that change the directory, which each
+	// take the locks of several shards in turn, and guards leaving.
+	changes sync.Mutex
+	// leaving maps the ids of instances that said that they leave to their
+	// start times, in Unix milliseconds.
+	leaving  map[string]int64
 	services [directoryShards]serviceShard
 	ids      [directoryShards]idShard
 	addrs    [directoryShards]addrShard
@@ -25,7 +32,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	d := &Directory{}
+	d := &Directory{leaving: map[string]int64{}}
 	for i := range directoryShards {
 		d.services[i].byService = map[string][]*Instance{}
 		d.ids[i].byID = map[string]*Instance{}
@@ -51,6 +58,16 @@
 // because the platform lists a crashed upstream for some seconds more: calls to it
 // would reach the upstream that now uses the address, which refuses them.
 func (d *Directory) Put(i *Instance) {
+	d.changes.Lock()
+	defer d.changes.Unlock()
+	d.put(i)
+}
+
+// put implements Put. The caller holds changes.
+func (d *Directory) put(i *Instance) {
+	if startedAtMs, ok := d.leaving[i.ID]; ok && i.State == Ready && startedAtMs == i.StartedAtMs {
+		i = i.asDraining()
+	}
 	if i.State >= Lapsed {
 		d.store(i)
 		return
@@ -77,6 +94,8 @@
 // Lapse records that the platform no longer lists an instance. The instance
 // becomes gone after the grace period, or at once if it was draining.
 func (d *Directory) Lapse(now time.Time, id string, revision uint64, grace time.Duration) {
+	d.changes.Lock()
+	defer d.changes.Unlock()
 	old := d.Get(id)
 	if old == nil || old.State >= Lapsed {
 		return
@@ -87,7 +106,27 @@
 	if old.State == Draining {
 		next.State = Gone
 	}
-	d.Put(&next)
+	d.put(&next)
+}
+
+// MarkLeaving records that an instance said in a response that it leaves, and
+// reports whether that is new. The instance gets no new calls from then on,
+// whatever the platform lists, until it starts again.
+func (d *Directory) MarkLeaving(now time.Time, said *Instance) bool {
+	d.changes.Lock()
+	defer d.changes.Unlock()
+	i := d.Get(said.ID)
+	if i == nil || i.StartedAtMs != said.StartedAtMs || !i.Serves(now) {
+		return false
+	}
+	d.leaving[i.ID] = i.StartedAtMs
+	next := i.asDraining()
+	if i.State == Lapsed {
+		next.State = Gone
+	}
+	next.StateSince = now
+	d.put(next)
+	return true
 }
 
 // Get returns the instance with an id, or nil.
@@ -133,11 +172,14 @@
 // Expire removes lapsed and gone instances whose StateSince is more than
 // goneRetention ago.
 func (d *Directory) Expire(now time.Time) {
+	d.changes.Lock()
+	defer d.changes.Unlock()
 	for _, i := range d.All() {
 		if i.State >= Lapsed && now.Sub(i.StateSince) > goneRetention {
 			d.idShard(i.ID).remove(i.ID)
 			d.addrShard(i.Addr).remove(i)
 			d.serviceShard(i.Service).remove(i.Service, i.ID)
+			delete(d.leaving, i.ID)
 		}
 	}
 }
--- a/internal/instance/directory_test.go
+++ b/internal/instance/directory_test.go
@@ -63,3 +63,36 @@
 		t.Errorf("serving instances: %v, want one", got)
 	}
 }
+
+// Guards against calls to an instance that said that it leaves: a later entry, a
+// removal and a restored entry do not take that back, a new start under its id does.
+func TestLeavingInstanceServesOnlyAfterNewStart(t *testing.T) {
+	at := func(startedAtMs int64, revision uint64) *Instance {
+		i := entry("x", "s", "1.1.1.1:1", revision)
+		i.StartedAtMs = startedAtMs
+		return i
+	}
+	d := NewDirectory()
+	d.Put(at(1, 1))
+	if !d.MarkLeaving(start, at(1, 1)) || d.MarkLeaving(start, at(1, 1)) {
+		t.Error("the first notice must be new, the second must not")
+	}
+	steps := []struct {
+		name   string
+		change func()
+		serves bool
+	}{
+		{"notice", func() {}, false},
+		{"later entry", func() { d.Put(at(1, 2)) }, false},
+		{"removal", func() { d.Lapse(start, "x", 3, time.Hour) }, false},
+		{"restored entry", func() { d.Put(at(1, 4)) }, false},
+		{"new start", func() { d.Put(at(2, 5)) }, true},
+		{"late notice of the old start", func() { d.MarkLeaving(start, at(1, 1)) }, true},
+	}
+	for _, s := range steps {
+		s.change()
+		if got := servingIDs(d, "s")["x"]; got != s.serves {
+			t.Errorf("after %s: serves %t, want %t", s.name, got, s.serves)
+		}
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -45,6 +45,13 @@
 	return s == Ready || s == Lapsed
 }
 
+// asDraining returns a copy in state Draining.
+func (i *Instance) asDraining() *Instance {
+	c := *i
+	c.State = Draining
+	return &c
+}
+
 // asGone returns a copy in state Gone, with StateSince unchanged.
 func (i *Instance) asGone() *Instance {
 	c := *i
--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -146,6 +146,7 @@
 	}
 	if res.kind == ResultAnswered {
 		s.callSizes.Observe(q.route.Name, len(q.body)+len(res.body))
+		s.observeLeaving(to, res.header)
 	}
 	s.cfg.Metrics.Attempts.WithLabelValues(to.Service, res.kind.String(), string(res.reason)).Inc()
 	s.logAttempt(q, choice, res, total)
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -188,7 +188,7 @@
 		if resp.Status == http.StatusMisdirectedRequest {
 			reason = ReasonOtherInstance
 		} else {
-			s.observeCallLimit(self, resp.Header)
+			s.observeNotices(self, resp.Header)
 		}
 		res := notRun(reason, "status "+strconv.Itoa(resp.Status))
 		if err != nil {
@@ -202,10 +202,26 @@
 		_ = resp.Body.Close()
 		return broken(ReasonInvalidResponse, fault)
 	}
-	s.observeCallLimit(self, resp.Header)
+	s.observeNotices(self, resp.Header)
 	return s.bufferResponse(ctx, q, resp)
 }
 
+// observeNotices applies what the upstream beside the node says of itself in a
+// response.
+func (s *Server) observeNotices(self *instance.Instance, h http.Header) {
+	s.observeCallLimit(self, h)
+	s.observeLeaving(self, h)
+}
+
+// observeLeaving records that an instance leaves if a response of it says so. Each
+// node that passes on such a response remembers it: the node beside the upstream
+// may restart and forget it.
+func (s *Server) observeLeaving(i *instance.Instance, h http.Header) {
+	if h.Get(s.cfg.HeaderNames.Leaving) != "" && s.cfg.Directory.MarkLeaving(time.Now(), i) {
+		s.cfg.Log.Info("upstream says that it leaves", "instance", i.ID, "service", i.Service)
+	}
+}
+
 // observeCallLimit applies the limit of calls per second that a response of the
 // upstream names, or removes it if the response names none.
 func (s *Server) observeCallLimit(self *instance.Instance, h http.Header) {
