mesh: take no refusal without the call's id for the answer to the call

It could happen here: a response with the id of another call was skipped, but a refusal without any id counted as the answer.

A refusal must now echo the call's id like any other response; otherwise the call counts as possibly run. TestEarlierRefusalIsNotTakenForTheAnswer: a non-idempotent call got 503 and ran twice before, 502 and once now; with the id of another call it was right before as well.

--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -178,9 +178,15 @@
 	return ReasonConnectionBroken
 }
 
-// responseResult checks that a response comes from the upstream and buffers it.
+// responseResult checks that a response comes from the upstream and belongs to the
+// call, and buffers it. Without the call's id, not even a refusal counts: a faulty
+// upstream may write an earlier one again while it runs the call.
 func (s *Server) responseResult(ctx context.Context, q *request, self *instance.Instance, resp *httpconn.Response) *result {
 	names := s.cfg.HeaderNames
+	if q.id != "" && resp.Header.Get(names.AttemptID) != q.id {
+		_ = resp.Body.Close()
+		return broken(ReasonInvalidResponse, "status "+strconv.Itoa(resp.Status)+" does not echo the attempt id")
+	}
 	if resp.Header.Get(names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		_, err := io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
@@ -198,7 +204,7 @@
 		res.expectedWait = minRetryAfter
 		return res
 	}
-	if fault := s.invalidReason(q, resp); fault != "" {
+	if fault := s.invalidReason(resp); fault != "" {
 		_ = resp.Body.Close()
 		return broken(ReasonInvalidResponse, fault)
 	}
@@ -236,15 +242,13 @@
 	}
 }
 
-// invalidReason returns why a response cannot be the upstream's response to
-// this call, or an empty string.
-func (s *Server) invalidReason(q *request, resp *httpconn.Response) string {
+// invalidReason returns why a response cannot be one that the upstream sent for
+// callers, or an empty string.
+func (s *Server) invalidReason(resp *httpconn.Response) string {
 	names := s.cfg.HeaderNames
 	switch {
 	case resp.Header.Get(names.Seal) == "":
 		return "status " + strconv.Itoa(resp.Status) + " without a seal header"
-	case q.id != "" && resp.Header.Get(names.AttemptID) != q.id:
-		return "the response does not echo the attempt id"
 	case resp.Header.Get("Content-Encoding") != "":
 		return "the response has a Content-Encoding"
 	}
