httpconn: end an exchange whose response head or earlier response has no end

The body of a refusal was read to its end as well.

A head with its interim responses is bounded to 64 KiB and 100 responses, a skipped body to 1 MiB, and a refusal's body is no longer read beyond 64 KiB.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -19,6 +19,8 @@
 type conn struct {
 	netConn net.Conn
 	br      *bufio.Reader
+	// limiter bounds what br reads while the head of a response is awaited.
+	limiter *headLimiter
 	// reused is set once the connection has been in the pool.
 	reused bool
 	// idleUntil is when an idle connection expires.
@@ -26,7 +28,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{netConn: c, br: bufio.NewReaderSize(c, readBufferBytes)}
+	l := &headLimiter{r: c}
+	return &conn{netConn: c, br: bufio.NewReaderSize(l, readBufferBytes), limiter: l}
 }
 
 // alive reports whether an idle connection is open and has no data to read.
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -18,6 +18,13 @@
 	// maxStaleResponses is how many responses to earlier requests an exchange
 	// skips before it fails.
 	maxStaleResponses = 4
+	// maxHeadBytes bounds the head of a response together with the interim
+	// responses before it. A faulty server may send bytes without end.
+	maxHeadBytes = 64 << 10
+	// maxInterimResponses bounds the interim (1xx) responses to a request.
+	maxInterimResponses = 100
+	// maxStaleBytes bounds the body of a skipped response.
+	maxStaleBytes = 1 << 20
 	// copyBufferBytes is the largest chunk of a request body of unknown length.
 	copyBufferBytes = 32 << 10
 )
@@ -114,12 +121,17 @@
 
 // readHead returns the first final response that belongs to the request.
 func (x *exchange) readHead() (*Response, error) {
-	for skipped := 0; skipped <= maxStaleResponses; {
+	defer x.conn.limiter.unlimit()
+	x.conn.limiter.limit(maxHeadBytes)
+	for skipped, interim := 0, 0; skipped <= maxStaleResponses; {
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.req.Method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			if interim++; interim > maxInterimResponses {
+				return nil, &HeadTooLargeError{}
+			}
 			continue
 		}
 		if !x.mismatched(resp) {
@@ -127,9 +139,11 @@
 		}
 		skipped++
 		x.skippedStale = true
+		x.conn.limiter.limit(maxStaleBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
 			return nil, &StaleError{ID: resp.Header.Get(x.pool.options.EchoHeader)}
 		}
+		x.conn.limiter.limit(maxHeadBytes)
 	}
 	return nil, &StaleError{}
 }
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -14,3 +14,15 @@
 	Length int64
 	Body   io.ReadCloser
 }
+
+// maxDiscardBytes is the longest body that Discard reads so that the connection
+// can be used again.
+const maxDiscardBytes = 64 << 10
+
+// Discard reads the body to its end, or closes the connection if the body is long
+// or ends early. It returns a *BrokenError in the latter case.
+func (r *Response) Discard() error {
+	defer func() { _ = r.Body.Close() }()
+	_, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardBytes))
+	return err
+}
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -188,8 +188,7 @@
 		return broken(ReasonInvalidResponse, "status "+strconv.Itoa(resp.Status)+" does not echo the attempt id")
 	}
 	if resp.Header.Get(names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
-		_, err := io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
+		err := resp.Discard()
 		reason := ReasonShed
 		if resp.Status == http.StatusMisdirectedRequest {
 			reason = ReasonOtherInstance
