--- a/internal/mesh/limits.go
+++ b/internal/mesh/limits.go
@@ -22,11 +22,6 @@
 	// downBackoff is how long the upstream is considered down after a failed
 	// connection attempt.
 	downBackoff = 200 * time.Millisecond
-	// minMisdirectionBackoff and maxMisdirectionBackoff bound the exponential
-	// pause between calls to an instance that the upstream refuses to be. Each
-	// such call is an arrival that the retry budget has to pay for.
-	minMisdirectionBackoff = time.Second
-	maxMisdirectionBackoff = 8 * time.Second
 	// startupRetryAfter is the Retry-After of a node that has no configuration
 	// version yet, without its random part.
 	startupRetryAfter = 300 * time.Millisecond
--- a/internal/mesh/named_limit.go
+++ b/internal/mesh/notice/call_limit.go
@@ -1,4 +1,4 @@
-package mesh
+package notice
 
 import (
 	"math"
@@ -12,9 +12,10 @@
 // name another limit.
 const minCallsPerSecond = 0.5
 
-// namedLimit holds the calls per second that the upstream beside the node takes,
-// as its last response named them. It is safe for concurrent use.
-type namedLimit struct {
+// CallLimit holds the calls per second that the upstream beside the node takes,
+// as its last response named them. Its zero value is ready to use; it is safe for
+// concurrent use.
+type CallLimit struct {
 	// mu guards the other fields.
 	mu sync.Mutex
 	// id and startedAtMs identify the instance that named the limit.
@@ -23,9 +24,9 @@
 	callsPerSecond float64
 }
 
-// set records the limit that an instance named; zero if it named none. It reports
+// Set records the limit that an instance named; zero if it named none. It reports
 // whether the limit changed.
-func (l *namedLimit) set(i *instance.Instance, callsPerSecond float64) bool {
+func (l *CallLimit) Set(i *instance.Instance, callsPerSecond float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changed := l.of(i) != callsPerSecond
@@ -33,23 +34,23 @@
 	return changed
 }
 
-// get returns the limit of an instance; zero if it named none.
-func (l *namedLimit) get(i *instance.Instance) float64 {
+// Get returns the limit of an instance; zero if it named none.
+func (l *CallLimit) Get(i *instance.Instance) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.of(i)
 }
 
-func (l *namedLimit) of(i *instance.Instance) float64 {
+func (l *CallLimit) of(i *instance.Instance) float64 {
 	if l.id != i.ID || l.startedAtMs != i.StartedAtMs {
 		return 0
 	}
 	return l.callsPerSecond
 }
 
-// parseCallLimit parses the header that names a limit; zero if it is empty. It
+// ParseCallLimit parses the header that names a limit; zero if it is empty. It
 // returns a *CallLimitError if the text is not a decimal number of at least zero.
-func parseCallLimit(text string) (float64, error) {
+func ParseCallLimit(text string) (float64, error) {
 	if text == "" {
 		return 0, nil
 	}
--- a/internal/mesh/call_limit_error.go
+++ b/internal/mesh/notice/call_limit_error.go
@@ -1,4 +1,4 @@
-package mesh
+package notice
 
 import "strconv"
 
--- a/internal/mesh/misdirection.go
+++ b/internal/mesh/notice/misdirection.go
@@ -1,4 +1,4 @@
-package mesh
+package notice
 
 import (
 	"sync"
@@ -7,10 +7,19 @@
 	"github.com/filbertpier/filbertpier/internal/instance"
 )
 
-// misdirection remembers the instance that the upstream beside the node refused
+const (
+	// minMisdirectionBackoff and maxMisdirectionBackoff bound the exponential
+	// pause between calls to an instance that the upstream refuses to be. Each
+	// such call is an arrival that the retry budget has to pay for.
+	minMisdirectionBackoff = time.Second
+	maxMisdirectionBackoff = 8 * time.Second
+)
+
+// Misdirection remembers the instance that the upstream beside the node refused
 // to be. The platform lists a new instance later than it starts, and until then
-// the upstream refuses each call to the old one. It is safe for concurrent use.
-type misdirection struct {
+// the upstream refuses each call to the old one. Its zero value is ready to use; it
+// is safe for concurrent use.
+type Misdirection struct {
 	// mu guards the other fields.
 	mu sync.Mutex
 	// id and startedAtMs identify the refused instance; id is empty if there is
@@ -23,20 +32,20 @@
 	backoff time.Duration
 }
 
-func (m *misdirection) refers(i *instance.Instance) bool {
+func (m *Misdirection) refers(i *instance.Instance) bool {
 	return m.id == i.ID && m.startedAtMs == i.StartedAtMs
 }
 
-// blocks reports whether calls to an instance must not reach the upstream now.
-func (m *misdirection) blocks(now time.Time, i *instance.Instance) bool {
+// Blocks reports whether calls to an instance must not reach the upstream now.
+func (m *Misdirection) Blocks(now time.Time, i *instance.Instance) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.refers(i) && now.Before(m.retryAt)
 }
 
-// admits reports whether a call to an instance may reach the upstream. For a
+// Admits reports whether a call to an instance may reach the upstream. For a
 // refused instance it admits one call after each pause.
-func (m *misdirection) admits(now time.Time, i *instance.Instance) bool {
+func (m *Misdirection) Admits(now time.Time, i *instance.Instance) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.refers(i) {
@@ -50,8 +59,8 @@
 	return true
 }
 
-// record records that the upstream refused to be an instance.
-func (m *misdirection) record(now time.Time, i *instance.Instance) {
+// Record records that the upstream refused to be an instance.
+func (m *Misdirection) Record(now time.Time, i *instance.Instance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.refers(i) {
@@ -62,8 +71,8 @@
 	m.retryAt = now.Add(m.backoff)
 }
 
-// clear records that the upstream answered as an instance.
-func (m *misdirection) clear(i *instance.Instance) {
+// Clear records that the upstream answered as an instance.
+func (m *Misdirection) Clear(i *instance.Instance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.refers(i) {
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/httpconn"
+	"github.com/filbertpier/filbertpier/internal/mesh/notice"
 	"github.com/filbertpier/filbertpier/internal/placement"
 	"github.com/filbertpier/filbertpier/internal/retry"
 	"github.com/filbertpier/filbertpier/internal/split"
@@ -40,9 +41,9 @@
 	// attempt, in Unix nanoseconds.
 	downUntil atomic.Int64
 	// misdirected is the instance that the upstream refused to be.
-	misdirected misdirection
-	// namedLimit is the limit that the upstream's last response named.
-	namedLimit namedLimit
+	misdirected notice.Misdirection
+	// callLimit is the limit that the upstream's last response named.
+	callLimit notice.CallLimit
 }
 
 // NewServer returns a server; the caller must start Run.
