replica: bound the new list of a connected node like its watch

TestChangeArrivesInTimeWhileParentListsAgain failed before (revision 1 after 2.5 s, want 3) and passes.

--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -24,6 +24,9 @@
 	directReadTime = 3 * time.Second
 	// listTimeout bounds the listing of all items.
 	listTimeout = 5 * time.Second
+	// relistTimeout replaces listTimeout at a connected node, whose children
+	// trust it meanwhile.
+	relistTimeout = watchWait + watchGrace
 	// unstableAfterOutage is how long after an outage the platform may lack
 	// entries that are about to be restored.
 	unstableAfterOutage = 3 * time.Second
--- a/internal/replica/parent_cut_test.go
+++ b/internal/replica/parent_cut_test.go
@@ -32,3 +32,24 @@
 		})
 	}
 }
+
+// Guards against nodes that trust a parent whose list of all items hangs after
+// the platform has compacted its history.
+func TestChangeArrivesInTimeWhileParentListsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform, fleet := newTestPlatform(), &testFleet{nodes: map[string]*testNode{}}
+		platform.put("config", false)
+		root := fleet.add(t, platform, "root", "")
+		child := fleet.add(t, platform, "child", "root")
+		time.Sleep(10500 * time.Millisecond)
+		root.source.compacted.Store(true)
+		root.source.cut.Store(true)
+		platform.put("servers/first", false)
+		time.Sleep(time.Millisecond)
+		platform.put("config", false)
+		time.Sleep(configApplyBound)
+		if got := child.table.Revision(); got != 3 {
+			t.Errorf("the child is at revision %d %s after the change, want 3", got, configApplyBound)
+		}
+	})
+}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -131,7 +131,11 @@
 // complete list.
 func (r *Reader) readPlatform(runCtx context.Context) error {
 	if !r.listed.Load() {
-		ctx, cancel := context.WithTimeout(runCtx, listTimeout)
+		timeout := listTimeout
+		if r.Connected() {
+			timeout = relistTimeout
+		}
+		ctx, cancel := context.WithTimeout(runCtx, timeout)
 		defer cancel()
 		page, err := r.cfg.Source.List(ctx)
 		if err != nil {
--- a/internal/replica/test_source_test.go
+++ b/internal/replica/test_source_test.go
@@ -11,6 +11,8 @@
 type testSource struct {
 	platform *testPlatform
 	cut      atomic.Bool
+	// compacted makes the pending or next watch report that the history is gone.
+	compacted atomic.Bool
 }
 
 func (s *testSource) List(ctx context.Context) (Page, error) {
@@ -25,6 +27,9 @@
 func (s *testSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
 	timeout := time.After(wait)
 	for {
+		if s.compacted.Swap(false) {
+			return Page{}, &CompactedError{Revision: after}
+		}
 		page, changed := s.platform.pageAfter(after, false)
 		if len(page.Items) > 0 && !s.cut.Load() {
 			return page, nil
