--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -3,15 +3,19 @@
 import "time"
 
 const (
-	// watchWait is the long-poll time of a watch. A node detects a platform that
-	// stopped responding after at most watchWait plus watchGrace. Its children
-	// trust it until then, so the sum leaves time for their own read before a
-	// change must be in force.
+	// watchWait is the long-poll time of a watch at the root of a tree. The root
+	// detects a platform that stopped responding after at most watchWait plus
+	// watchGrace. Its children trust it until then, so the sum leaves time for
+	// their own read before a change must be in force.
 	watchWait = time.Second
+	// fallbackWatchWait replaces watchWait at a node that has a parent. It is
+	// longer, because all nodes of a fleet may watch the platform at once after
+	// an outage.
+	fallbackWatchWait = 5 * time.Second
 	// batchDelay is the pause after a watch that returned new changes, so that
 	// changes in quick succession are read together.
 	batchDelay = 400 * time.Millisecond
-	// watchGrace is how long after watchWait the response to a watch may still
+	// watchGrace is how long after the wait of a watch the response to a watch may still
 	// arrive.
 	watchGrace = 600 * time.Millisecond
 	// followWait is the long-poll time at the parent node, and followGrace how
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -99,7 +99,7 @@
 func (r *Reader) readNext(ctx context.Context) error {
 	position := r.cfg.TreePosition()
 	if position.Parent == "" || r.table.Revision() == 0 || time.Now().Before(r.directReadUntil) {
-		return r.readPlatform(ctx)
+		return r.readPlatform(ctx, position)
 	}
 	err := r.follow(ctx, position.Parent)
 	if err != nil {
@@ -129,7 +129,7 @@
 
 // readPlatform lists all items, or watches for changes if the table holds a
 // complete list.
-func (r *Reader) readPlatform(runCtx context.Context) error {
+func (r *Reader) readPlatform(runCtx context.Context, position TreePosition) error {
 	if !r.listed.Load() {
 		timeout := listTimeout
 		if r.Connected() {
@@ -147,9 +147,13 @@
 		r.cfg.Observer.Listed(page.Revision, len(page.Items))
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(runCtx, watchWait+watchGrace)
+	wait := watchWait
+	if position.Parent != "" {
+		wait = fallbackWatchWait
+	}
+	ctx, cancel := context.WithTimeout(runCtx, wait+watchGrace)
 	defer cancel()
-	page, err := r.cfg.Source.Watch(ctx, r.table.Revision(), watchWait)
+	page, err := r.cfg.Source.Watch(ctx, r.table.Revision(), wait)
 	if err != nil {
 		return err
 	}
