--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -167,9 +167,9 @@
 }
 
 // moreUrgentSlots returns the recent mean number of the available slots used by
-// ranks more urgent than e, whose later calls will overtake a waiting call of e. If it were
-// ignored, less urgent calls would be accepted in a shortage and wait until their
-// deadline.
+// ranks more urgent than e, whose later calls will overtake a waiting call of e.
+// If it were ignored, less urgent calls would be accepted in a shortage and wait
+// until their deadline.
 func (s *scheduler) moreUrgentSlots(table *rankTable, e *rankEntry, available float64) float64 {
 	slots := 0.0
 	for _, other := range table.ordered {
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -43,7 +43,7 @@
 		return notRun(ReasonDeadline, "the deadline passed while the call waited for a slot")
 	}
 	if !s.misdirected.Admits(start, self) {
-		return notRun(ReasonOtherInstance, "the upstream refused an earlier call to "+targetID)
+		return misdirected(targetID)
 	}
 	res = s.sendToUpstream(ctx, q, self)
 	res.runTime = time.Since(start)
@@ -69,11 +69,16 @@
 	case now.UnixNano() < s.downUntil.Load():
 		return nil, notRun(ReasonUnreachable, "a recent attempt to connect to the upstream failed")
 	case s.misdirected.Blocks(now, self):
-		return nil, notRun(ReasonOtherInstance, "the upstream refused an earlier call to "+targetID)
+		return nil, misdirected(targetID)
 	}
 	return self, nil
 }
 
+// misdirected refuses a call to an instance that the upstream refused to be.
+func misdirected(targetID string) *result {
+	return notRun(ReasonOtherInstance, "the upstream refused an earlier call to "+targetID)
+}
+
 // updateLimits applies the slots that the upstream announces, the limit that it
 // names, and the ranks and the connection limit of the current configuration
 // version.
--- a/internal/mesh/upstream_exchange.go
+++ b/internal/mesh/upstream_exchange.go
@@ -13,9 +13,8 @@
 	"github.com/filbertpier/filbertpier/internal/instance"
 )
 
-// sendToUpstream sends an admitted call to the upstream. An idempotent call is
-// sent a second time if a reused connection broke and the limit that the upstream
-// names and the retry budget permit it.
+// sendToUpstream sends an admitted call to the upstream, and a second time if
+// mayResend permits it.
 func (s *Server) sendToUpstream(ctx context.Context, q *request, self *instance.Instance) *result {
 	names := s.cfg.HeaderNames
 	out := q.outgoing()
@@ -24,8 +23,7 @@
 	out.Header[names.ExpectedInstance] = []string{self.ID}
 	resp, err := s.upstream.Do(ctx, s.cfg.UpstreamAddr, out)
 	var firstErr *httpconn.BrokenError
-	if !errors.As(err, &firstErr) || !firstErr.Reused || !q.idempotent() || q.bodyTail != nil || ctx.Err() != nil ||
-		!s.limiter.AllowRepeat() || !s.budgets.TakeToken(time.Now(), s.cfg.Service, 0, q.rank.Order) {
+	if !errors.As(err, &firstErr) || !s.mayResend(ctx, q, firstErr) {
 		return s.exchangeResult(ctx, q, self, resp, err)
 	}
 	// The upstream may have closed the idle connection while the request was
@@ -40,6 +38,16 @@
 	return res
 }
 
+// mayResend reports whether a call may be sent to the upstream again: an idempotent
+// one whose reused connection broke, if the limit that the upstream names and the
+// retry budget permit one more arrival, which it counts in both.
+func (s *Server) mayResend(ctx context.Context, q *request, err *httpconn.BrokenError) bool {
+	if !err.Reused || !q.idempotent() || q.bodyTail != nil || ctx.Err() != nil {
+		return false
+	}
+	return s.limiter.AllowRepeat() && s.budgets.TakeToken(time.Now(), s.cfg.Service, 0, q.rank.Order)
+}
+
 // exchangeResult converts the response or the error of an exchange into a
 // result.
 func (s *Server) exchangeResult(ctx context.Context, q *request, self *instance.Instance, resp *httpconn.Response, err error) *result {
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -15,7 +15,7 @@
 	// batchDelay is the pause after a watch that returned new changes, so that
 	// changes in quick succession are read together.
 	batchDelay = 400 * time.Millisecond
-	// watchGrace is how long after the wait of a watch the response to a watch may still
+	// watchGrace is how long after the wait of a watch its response may still
 	// arrive.
 	watchGrace = 600 * time.Millisecond
 	// followWait is the long-poll time at the parent node, and followGrace how
