--- a/internal/replica/parent_cut_test.go
+++ b/internal/replica/parent_cut_test.go
@@ -10,17 +10,25 @@
 // requires a change to be in force.
 const configApplyBound = 2500 * time.Millisecond
 
+// startPair starts a node that reads the platform and its child, and lets them
+// follow a first change for some seconds.
+func startPair(t *testing.T) (platform *testPlatform, root, child *testNode) {
+	platform = newTestPlatform()
+	fleet := &testFleet{nodes: map[string]*testNode{}}
+	platform.put("config", false)
+	root = fleet.add(t, platform, "root", "")
+	child = fleet.add(t, platform, "child", "root")
+	time.Sleep(10500 * time.Millisecond)
+	return platform, root, child
+}
+
 // Guards against nodes that trust a parent whose watch of the platform hangs:
 // they follow no change until the watch fails.
 func TestChangeArrivesInTimeWhileParentIsCutFromPlatform(t *testing.T) {
 	for delay := time.Duration(0); delay <= 6*time.Second; delay += 250 * time.Millisecond {
 		t.Run(delay.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				platform, fleet := newTestPlatform(), &testFleet{nodes: map[string]*testNode{}}
-				platform.put("config", false)
-				root := fleet.add(t, platform, "root", "")
-				child := fleet.add(t, platform, "child", "root")
-				time.Sleep(10500 * time.Millisecond)
+				platform, root, child := startPair(t)
 				root.source.cut.Store(true)
 				time.Sleep(delay)
 				platform.put("config", false)
@@ -37,11 +45,7 @@
 // the platform has compacted its history.
 func TestChangeArrivesInTimeWhileParentListsAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		platform, fleet := newTestPlatform(), &testFleet{nodes: map[string]*testNode{}}
-		platform.put("config", false)
-		root := fleet.add(t, platform, "root", "")
-		child := fleet.add(t, platform, "child", "root")
-		time.Sleep(10500 * time.Millisecond)
+		platform, root, child := startPair(t)
 		root.source.compacted.Store(true)
 		root.source.cut.Store(true)
 		platform.put("servers/first", false)
