instance: remember a leaving instance after its entry has expired

A restored entry after a long outage of the platform made an instance serve again that had said that it leaves, because the mark went with the expired entry. TestLeavingInstanceServesOnlyAfterNewStart got two steps, of which the second failed before.

--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -22,9 +22,9 @@
 	// changes serializes the methods that change the directory, which each
 	// take the locks of several shards in turn, and guards leaving.
 	changes sync.Mutex
-	// leaving maps the ids of instances that said that they leave to their
-	// start times, in Unix milliseconds.
-	leaving  map[string]int64
+	// leaving holds the instances, by id, that said that they leave. An instance
+	// stays here after it was removed from the shards.
+	leaving  map[string]leavingMark
 	services [directoryShards]serviceShard
 	ids      [directoryShards]idShard
 	addrs    [directoryShards]addrShard
@@ -32,7 +32,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	d := &Directory{leaving: map[string]int64{}}
+	d := &Directory{leaving: map[string]leavingMark{}}
 	for i := range directoryShards {
 		d.services[i].byService = map[string][]*Instance{}
 		d.ids[i].byID = map[string]*Instance{}
@@ -65,7 +65,7 @@
 
 // put implements Put. The caller holds changes.
 func (d *Directory) put(i *Instance) {
-	if startedAtMs, ok := d.leaving[i.ID]; ok && i.State == Ready && startedAtMs == i.StartedAtMs {
+	if mark, ok := d.leaving[i.ID]; ok && i.State == Ready && mark.startedAtMs == i.StartedAtMs {
 		i = i.asDraining()
 	}
 	if i.State >= Lapsed {
@@ -115,11 +115,14 @@
 func (d *Directory) MarkLeaving(now time.Time, said *Instance) bool {
 	d.changes.Lock()
 	defer d.changes.Unlock()
+	if mark, ok := d.leaving[said.ID]; ok && mark.startedAtMs >= said.StartedAtMs {
+		return false
+	}
+	d.leaving[said.ID] = leavingMark{startedAtMs: said.StartedAtMs, markedAt: now}
 	i := d.Get(said.ID)
 	if i == nil || i.StartedAtMs != said.StartedAtMs || !i.Serves(now) {
-		return false
+		return true
 	}
-	d.leaving[i.ID] = i.StartedAtMs
 	next := i.asDraining()
 	if i.State == Lapsed {
 		next.State = Gone
@@ -170,7 +173,7 @@
 }
 
 // Expire removes lapsed and gone instances whose StateSince is more than
-// goneRetention ago.
+// goneRetention ago, and marks of leaving instances after leavingRetention.
 func (d *Directory) Expire(now time.Time) {
 	d.changes.Lock()
 	defer d.changes.Unlock()
@@ -179,7 +182,11 @@
 			d.idShard(i.ID).remove(i.ID)
 			d.addrShard(i.Addr).remove(i)
 			d.serviceShard(i.Service).remove(i.Service, i.ID)
-			delete(d.leaving, i.ID)
+		}
+	}
+	for id, mark := range d.leaving {
+		if now.Sub(mark.markedAt) > leavingRetention {
+			delete(d.leaving, id)
 		}
 	}
 }
--- a/internal/instance/directory_test.go
+++ b/internal/instance/directory_test.go
@@ -86,7 +86,12 @@
 		{"later entry", func() { d.Put(at(1, 2)) }, false},
 		{"removal", func() { d.Lapse(start, "x", 3, time.Hour) }, false},
 		{"restored entry", func() { d.Put(at(1, 4)) }, false},
-		{"new start", func() { d.Put(at(2, 5)) }, true},
+		{"second removal and expiry", func() {
+			d.Lapse(start, "x", 5, 0)
+			d.Expire(start.Add(goneRetention + time.Second))
+		}, false},
+		{"entry restored after the expiry", func() { d.Put(at(1, 6)) }, false},
+		{"new start", func() { d.Put(at(2, 7)) }, true},
 		{"late notice of the old start", func() { d.MarkLeaving(start, at(1, 1)) }, true},
 	}
 	for _, s := range steps {
