--- a/internal/httpconn/head_limit_test.go
+++ b/internal/httpconn/head_limit_test.go
@@ -45,8 +45,7 @@
 	return l.Addr().String(), done
 }
 
-// Guards against reading a response head, or responses to earlier calls, without
-// end: a faulty server sends bytes until the caller closes.
+// Guards against reading a head, or responses to earlier calls, without end.
 func TestEndlessResponseEndsTheExchange(t *testing.T) {
 	const line = 64 << 10
 	cases := map[string]struct{ first, chunk string }{
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -3,14 +3,11 @@
 import "time"
 
 const (
-	// watchWait is the long-poll time of a watch at the root of a tree. The root
-	// detects a platform that stopped responding after at most watchWait plus
-	// watchGrace. Its children trust it until then, so the sum leaves time for
-	// their own read before a change must be in force.
+	// watchWait is the long-poll time of a watch at the root of a tree. Children
+	// trust a root that lost the platform until watchWait and watchGrace are over.
 	watchWait = time.Second
-	// fallbackWatchWait replaces watchWait at a node that has a parent. It is
-	// longer, because all nodes of a fleet may watch the platform at once after
-	// an outage.
+	// fallbackWatchWait replaces watchWait at a node that has a parent: after an
+	// outage, all nodes of a fleet may watch the platform at once.
 	fallbackWatchWait = 5 * time.Second
 	// batchDelay is the pause after a watch that returned new changes, so that
 	// changes in quick succession are read together.
--- a/internal/replica/parent_cut_test.go
+++ b/internal/replica/parent_cut_test.go
@@ -22,8 +22,7 @@
 	return platform, root, child
 }
 
-// Guards against nodes that trust a parent whose watch of the platform hangs:
-// they follow no change until the watch fails.
+// Guards against nodes that trust a parent whose watch of the platform hangs.
 func TestChangeArrivesInTimeWhileParentIsCutFromPlatform(t *testing.T) {
 	for delay := time.Duration(0); delay <= 6*time.Second; delay += 250 * time.Millisecond {
 		t.Run(delay.String(), func(t *testing.T) {
@@ -41,8 +40,7 @@
 	}
 }
 
-// Guards against nodes that trust a parent whose list of all items hangs after
-// the platform has compacted its history.
+// Guards against nodes that trust a parent whose list of all items hangs.
 func TestChangeArrivesInTimeWhileParentListsAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		platform, root, child := startPair(t)
--- a/internal/replica/removal_test.go
+++ b/internal/replica/removal_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// Guards against losing the removal of an entry: a node that started after the
-// removal has listed all items and knows nothing of it.
+// Guards against losing a removal because a node that listed later knows nothing of it.
 func TestRemovalIsNotSkippedThroughNodeThatListed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		platform, fleet := newTestPlatform(), &testFleet{nodes: map[string]*testNode{}}
--- a/internal/replica/test_node_test.go
+++ b/internal/replica/test_node_test.go
@@ -11,8 +11,9 @@
 	table     *Table
 	reader    *Reader
 	publisher *Publisher
-	mu        sync.Mutex
-	deleted   []string
+	// mu guards deleted, the keys whose deletion the table has applied.
+	mu      sync.Mutex
+	deleted []string
 }
 
 func (n *testNode) knowsDeleted(key string) bool {
--- a/internal/sidecar/call_limit_test.go
+++ b/internal/sidecar/call_limit_test.go
@@ -46,8 +46,7 @@
 	return most
 }
 
-// Guards against sending an upstream more calls than the limit that it names in
-// its responses, from the node beside it and from others.
+// Guards against sending an upstream more calls than the limit that it names.
 func TestCallsStayWithinLimitNamedByUpstream(t *testing.T) {
 	const limit = 20
 	var arrivals arrivalTimes
@@ -97,8 +96,7 @@
 	}
 }
 
-// Guards against calls to an upstream that has said that it leaves in a response
-// that the caller's node passed on, also after the node beside it has restarted.
+// Guards against calls to an upstream that has said in a response that it leaves.
 func TestUpstreamThatSaysItLeavesGetsNoNewCalls(t *testing.T) {
 	f := newFleet(t)
 	var leaving atomic.Bool
--- a/internal/sidecar/endless_body_test.go
+++ b/internal/sidecar/endless_body_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// Guards against an endless body that holds a call past its deadline, or that the
-// caller takes for a complete one.
+// Guards against an endless body that outlasts the deadline or looks complete.
 func TestEndlessBodyEndsAtTheDeadlineIncomplete(t *testing.T) {
 	f := newFleet(t)
 	chunk := make([]byte, 16<<10)
--- a/internal/sidecar/retry_budget_test.go
+++ b/internal/sidecar/retry_budget_test.go
@@ -27,8 +27,7 @@
 	}
 }
 
-// Guards against sending each call to every upstream of a service whose
-// upstreams have restarted under ids that the store does not list yet.
+// Guards against sending each call to every upstream that restarted under an unlisted id.
 func TestMisdirectedCallsStayWithinRetryBudget(t *testing.T) {
 	f := newFleet(t)
 	for range 5 {
@@ -52,10 +51,10 @@
 	checkRepeats(t, f, calls)
 }
 
-// Guards against second sends after broken reused connections that no retry
-// budget limits: the upstream breaks each connection at its second request.
+// Guards against second sends after broken reused connections that no budget limits.
 func TestResentCallsStayWithinRetryBudget(t *testing.T) {
 	f := newFleet(t)
+	// The upstream breaks each connection at its second request.
 	var connections sync.Map
 	a := f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
 		if _, reused := connections.LoadOrStore(r.RemoteAddr, true); reused {
--- a/internal/sidecar/stale_refusal_test.go
+++ b/internal/sidecar/stale_refusal_test.go
@@ -17,8 +17,7 @@
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", headerNames.NotRun, header)
 }
 
-// Guards against reporting a call as not run, or sending it to a second upstream,
-// because a faulty upstream that runs it writes an earlier refusal once more.
+// Guards against reporting a call as not run, or running it twice, after an earlier refusal.
 func TestEarlierRefusalIsNotTakenForTheAnswer(t *testing.T) {
 	cases := map[string]string{
 		"without an attempt id":           "",
