--- a/internal/sidecar/retry_budget_test.go
+++ b/internal/sidecar/retry_budget_test.go
@@ -51,6 +51,31 @@
 	checkRepeats(t, f, calls)
 }
 
+// Guards against sending one call to more upstreams than its route has attempts.
+func TestMisdirectedCallReachesAtMostItsAttempts(t *testing.T) {
+	f := newFleet(t)
+	for range 5 {
+		f.add("a", "z1", respondAfter(0)).start()
+	}
+	for _, v := range f.vms {
+		await(t, "the nodes to be ready", v.ready)
+		await(t, "a served call", func() bool { return v.call("GET", "/safe/x").status == http.StatusOK })
+	}
+	arrivals := int64(0)
+	for _, v := range f.vms {
+		v.restarted.Store(true)
+		arrivals -= v.arrivals.Load()
+	}
+	f.vms[0].call("GET", "/safe/x")
+	for _, v := range f.vms {
+		arrivals += v.arrivals.Load()
+	}
+	// The route's policy has two attempts.
+	if arrivals < 1 || arrivals > 2 {
+		t.Errorf("the call reached %d upstreams, want 1 or 2", arrivals)
+	}
+}
+
 // Guards against second sends after broken reused connections that no budget limits.
 func TestResentCallsStayWithinRetryBudget(t *testing.T) {
 	f := newFleet(t)
