feed: apply the upstreams of a page before its version

Cause: a node reports ready once a version is in force, and the items of a page were applied one by one in arbitrary order. A call between the version and the upstreams of the same list found no upstream and got a true but needless 503. The same held for each later page whose version routes to an upstream of the page, and for a node whose first list comes from a peer.

Ruled out: a second condition in Ready. It would leave later versions as they were.

Change: replica.Table reports the applied changes of a page together; feed.Applier decodes them all and applies upstreams, then versions, then removals.

--- a/internal/feed/applier.go
+++ b/internal/feed/applier.go
@@ -40,42 +40,68 @@
 	return &Applier{decoder: d, store: store, directory: directory, log: log, Unstable: func(time.Time) bool { return false }}
 }
 
-// Apply decodes an item and applies it. A version that cannot be decoded or is
-// not newer than the current one is logged and rejected as a whole. An upstream
-// whose entry cannot be decoded is treated as removed.
-func (a *Applier) Apply(item replica.Item) {
+// Apply decodes the items of a page and applies them in an order in which no call
+// in between lacks an upstream: first the upstreams, then the version that may
+// route to them, last the removals of upstreams to which the version before may
+// still route. A version that cannot be decoded or is not newer than the current
+// one is logged and rejected as a whole. An upstream whose entry cannot be decoded
+// is treated as removed.
+func (a *Applier) Apply(items []replica.Item) {
 	now := time.Now()
+	var versions, removals []decodedItem
+	for _, item := range items {
+		d := decodedItem{change: a.decode(now, item), revision: item.Revision}
+		switch {
+		case d.change.Instance != nil:
+			a.applyInstance(d)
+		case d.change.Snapshot != nil:
+			versions = append(versions, d)
+		case d.change.RemovedID != "":
+			removals = append(removals, d)
+		}
+	}
+	for _, d := range versions {
+		a.applyVersion(d)
+	}
+	for _, d := range removals {
+		a.applyRemoval(now, d)
+	}
+}
+
+func (a *Applier) decode(now time.Time, item replica.Item) Change {
 	change, err := a.decoder.Decode(now, item)
 	if err != nil {
 		a.log.Warn("published item refused", "key", item.Key, "revision", item.Revision, "error", err.Error())
 	}
-	switch {
-	case change.Snapshot != nil:
-		a.applyVersion(change.Snapshot, item.Revision)
-	case change.Instance != nil:
-		i := change.Instance
-		a.directory.Put(i)
-		a.log.Info("upstream listed", "instance", i.ID, "service", i.Service, "addr", i.Addr, "state", i.State.String(),
-			"slots", i.Slots, "zone", i.Zone, "revision", item.Revision)
-	case change.RemovedID != "":
-		grace := removedGrace
-		if a.Unstable(now) {
-			grace = expiredGrace
-		}
-		a.directory.Lapse(now, change.RemovedID, item.Revision, grace)
-		a.log.Info("upstream entry removed", "instance", change.RemovedID, "revision", item.Revision, "grace_ms", grace.Milliseconds())
-	}
+	return change
+}
+
+func (a *Applier) applyInstance(d decodedItem) {
+	i := d.change.Instance
+	a.directory.Put(i)
+	a.log.Info("upstream listed", "instance", i.ID, "service", i.Service, "addr", i.Addr, "state", i.State.String(),
+		"slots", i.Slots, "zone", i.Zone, "revision", d.revision)
 }
 
-func (a *Applier) applyVersion(next *snapshot.Snapshot, revision uint64) {
+func (a *Applier) applyVersion(d decodedItem) {
+	next := d.change.Snapshot
 	if err := a.store.Apply(next); err != nil {
-		a.log.Warn("version refused", "version", next.ID.Version, "revision", revision, "error", err.Error())
+		a.log.Warn("version refused", "version", next.ID.Version, "revision", d.revision, "error", err.Error())
 		return
 	}
 	ranks := []string{}
 	for _, r := range next.Document.Ranks() {
 		ranks = append(ranks, r.Name)
 	}
-	a.log.Info("version in force", "version", next.ID.Version, "revision", revision, "routes", len(next.Document.Routes()),
+	a.log.Info("version in force", "version", next.ID.Version, "revision", d.revision, "routes", len(next.Document.Routes()),
 		"ranks", strings.Join(ranks, " "))
 }
+
+func (a *Applier) applyRemoval(now time.Time, d decodedItem) {
+	grace := removedGrace
+	if a.Unstable(now) {
+		grace = expiredGrace
+	}
+	a.directory.Lapse(now, d.change.RemovedID, d.revision, grace)
+	a.log.Info("upstream entry removed", "instance", d.change.RemovedID, "revision", d.revision, "grace_ms", grace.Milliseconds())
+}
--- a/internal/feed/applier_test.go
+++ b/internal/feed/applier_test.go
@@ -1,20 +1,31 @@
 package feed
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
 
+	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/replica"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
-// entryDecoder decodes each item as the entry of an upstream whose ID is the key.
+// entryDecoder decodes the item "version" as a configuration version, any other as
+// the entry of an upstream whose ID is the key.
 type entryDecoder struct{}
 
 func (entryDecoder) Decode(now time.Time, item replica.Item) (Change, error) {
+	if item.Key == "version" {
+		doc, err := config.CompileBody(config.SectionBody{
+			Section: "main", Owner: "ops", Ranks: []config.Rank{{Name: "r", TargetMs: 1000, Worth: 1}},
+		})
+		return Change{Snapshot: snapshot.NewUnsigned(item.Revision, nil, doc)}, err
+	}
 	if item.Deleted {
 		return Change{RemovedID: item.Key}, nil
 	}
@@ -39,10 +50,35 @@
 		d := instance.NewDirectory()
 		a := NewApplier(entryDecoder{}, snapshot.NewStore(), d, hclog.NewNullLogger())
 		a.Unstable = func(time.Time) bool { return c.unstable }
-		a.Apply(replica.Item{Key: "i", Revision: 1})
-		a.Apply(replica.Item{Key: "i", Revision: 2, Deleted: true})
+		a.Apply([]replica.Item{{Key: "i", Revision: 1}})
+		a.Apply([]replica.Item{{Key: "i", Revision: 2, Deleted: true}})
 		if got := d.Get("i").Serves(time.Now().Add(c.after)); got != c.serves {
 			t.Errorf("unstable %t, %s after the removal: Serves returned %t", c.unstable, c.after, got)
 		}
 	}
 }
+
+// Guards against a version in force whose upstreams come later in the same page,
+// and against removing upstreams before the version that stops routing to them.
+func TestPageAppliesUpstreamsThenVersionThenRemovals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var out bytes.Buffer
+		a := NewApplier(entryDecoder{}, snapshot.NewStore(), instance.NewDirectory(), hclog.New(&hclog.LoggerOptions{Output: &out}))
+		a.Apply([]replica.Item{{Key: "old", Revision: 1}})
+		out.Reset()
+		a.Apply(rapid.Permutation([]replica.Item{
+			{Key: "old", Revision: 2, Deleted: true}, {Key: "version", Revision: 3}, {Key: "new", Revision: 4}, {Key: "next", Revision: 5},
+		}).Draw(t, "page"))
+		var order []string
+		for line := range strings.Lines(out.String()) {
+			for _, event := range []string{"listed", "in force", "removed"} {
+				if strings.Contains(line, event) {
+					order = append(order, event)
+				}
+			}
+		}
+		if got := strings.Join(order, ", "); got != "listed, listed, in force, removed" {
+			t.Fatalf("applied in the order %s", got)
+		}
+	})
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -34,13 +34,14 @@
 	// listedRevision is the revision of the latest complete list. It is guarded
 	// by mu.
 	listedRevision uint64
-	// onChange is called with each applied change, one at a time.
-	onChange func(Item)
+	// onChange is called with the applied changes of a page, one page at a time.
+	onChange func([]Item)
 }
 
-// NewTable returns an empty table that reports each applied change to
-// onChange. onChange is called while the table is locked and must not call it.
-func NewTable(onChange func(Item)) *Table {
+// NewTable returns an empty table that reports the applied changes of each page
+// together to onChange, so that it can apply what depends on other items of the
+// page last. onChange is called while the table is locked and must not call it.
+func NewTable(onChange func([]Item)) *Table {
 	t := &Table{onChange: onChange, changed: make(chan struct{})}
 	for i := range t.shards {
 		t.shards[i].items = map[string]Item{}
@@ -141,17 +142,19 @@
 	return t.changed
 }
 
-// putNewer stores the items that are newer than those held and returns their
-// number. The caller holds mu.
+// putNewer stores the items that are newer than those held, reports them to
+// onChange and returns their number. The caller holds mu.
 func (t *Table) putNewer(items []Item) int {
-	applied := 0
+	var applied []Item
 	for _, i := range items {
 		if t.shard(i.Key).putIfNewer(i) {
-			applied++
-			t.onChange(i)
+			applied = append(applied, i)
 		}
 	}
-	return applied
+	if len(applied) > 0 {
+		t.onChange(applied)
+	}
+	return len(applied)
 }
 
 // ChangesSince returns the items changed after a revision, including deleted
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -24,11 +24,13 @@
 			newest[i.Key] = i
 		}
 		lastRevision := map[string]uint64{}
-		table := NewTable(func(i Item) {
-			if i.Revision <= lastRevision[i.Key] {
-				t.Fatalf("%s went from revision %d to %d", i.Key, lastRevision[i.Key], i.Revision)
+		table := NewTable(func(items []Item) {
+			for _, i := range items {
+				if i.Revision <= lastRevision[i.Key] {
+					t.Fatalf("%s went from revision %d to %d", i.Key, lastRevision[i.Key], i.Revision)
+				}
+				lastRevision[i.Key] = i.Revision
 			}
-			lastRevision[i.Key] = i.Revision
 		})
 		for _, i := range rapid.Permutation(changes).Draw(t, "order") {
 			table.Merge(Page{Items: []Item{i}, Revision: i.Revision})
@@ -47,7 +49,7 @@
 // Guards against keys that remain although a complete list no longer has them,
 // and against deleting keys that changed after the list's revision.
 func TestReplaceDeletesMissingKeys(t *testing.T) {
-	table := NewTable(func(Item) {})
+	table := NewTable(func([]Item) {})
 	table.Merge(Page{Items: []Item{{Key: "old", Revision: 3}, {Key: "new", Revision: 9}}, Revision: 9})
 	table.Replace(Page{Items: []Item{{Key: "kept", Revision: 4}}, Revision: 7})
 	got := map[string]bool{}
@@ -66,7 +68,7 @@
 		platform := newTestPlatform()
 		tables := make([]*Table, 4)
 		for i := range tables {
-			tables[i] = NewTable(func(Item) {})
+			tables[i] = NewTable(func([]Item) {})
 		}
 		index := rapid.IntRange(0, len(tables)-1)
 		put := func() {
--- a/internal/replica/test_fleet_test.go
+++ b/internal/replica/test_fleet_test.go
@@ -23,11 +23,13 @@
 // is empty.
 func (f *testFleet) add(t *testing.T, p *testPlatform, name, parent string) *testNode {
 	n := &testNode{source: &testSource{platform: p}}
-	n.table = NewTable(func(i Item) {
-		if i.Deleted {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			n.deleted = append(n.deleted, i.Key)
+	n.table = NewTable(func(items []Item) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, i := range items {
+			if i.Deleted {
+				n.deleted = append(n.deleted, i.Key)
+			}
 		}
 	})
 	n.reader = NewReader(Config{
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,14 +55,14 @@
 	s.changed = make(chan struct{})
 }
 
-// changesSince returns the items that changed after a revision, and a channel
-// that is closed at the next change.
+// changesSince returns the items that changed after a revision, sorted by key, and
+// a channel that is closed at the next change.
 func (s *store) changesSince(revision uint64) (replica.Page, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	page := replica.Page{Revision: s.revision}
-	for _, i := range s.items {
-		if i.Revision > revision {
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if i := s.items[key]; i.Revision > revision {
 			page.Items = append(page.Items, i)
 		}
 	}
@@ -167,6 +169,7 @@
 	service  string
 	zone     string
 	source   *source
+	decoder  feed.Decoder
 	node     *sidecar.Node
 	settings *settings.Sidecar
 	runs     atomic.Int64
@@ -190,7 +193,7 @@
 func (f *fleet) add(service, zone string, handler http.HandlerFunc) *vm {
 	f.t.Helper()
 	n := len(f.vms) + 2
-	v := &vm{fleet: f, ip: fmt.Sprintf("127.0.%d.%d", 1+f.basePort%200, n), id: fmt.Sprintf("i%d", n), service: service, zone: zone, source: &source{store: f.store}}
+	v := &vm{fleet: f, ip: fmt.Sprintf("127.0.%d.%d", 1+f.basePort%200, n), id: fmt.Sprintf("i%d", n), service: service, zone: zone, source: &source{store: f.store}, decoder: decoder{}}
 	f.vms = append(f.vms, v)
 	l, err := net.Listen("tcp", v.addr(0))
 	if err != nil {
@@ -238,7 +241,7 @@
 	t := v.fleet.t
 	t.Helper()
 	node, err := sidecar.Start(v.settings, sidecar.Adapter{
-		HeaderNames: headerNames, Source: v.source, Decoder: decoder{}, ReadyPath: "/ready", MetricsPath: "/metrics",
+		HeaderNames: headerNames, Source: v.source, Decoder: v.decoder, ReadyPath: "/ready", MetricsPath: "/metrics",
 	}, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
