admission: test the refusal of a late call in virtual time

Cause: TestLimiterRefusesWhenServiceTimeNoLongerFits measured real time and failed when the machine was busy (267.4 ms, bound 260 ms).

Change: it runs in a synctest bubble; the bound stays 260 ms. With the bound set to 100 ms the test fails with 200 ms, so it still measures the refusal.

Measured: go test -race -count=200 -run TestLimiterRefusesWhenServiceTimeNoLongerFits ./internal/admission: ok.

--- a/internal/admission/shortage_test.go
+++ b/internal/admission/shortage_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/filbertpier/filbertpier/config"
@@ -48,21 +49,23 @@
 // Guards against a call that waits until its deadline: it has to be refused as
 // soon as the time left is shorter than its expected service time.
 func TestLimiterRefusesWhenServiceTimeNoLongerFits(t *testing.T) {
-	l := NewLimiterWithClock(Limits{Slots: 1, Ranks: []*config.Rank{urgent}}, time.Now)
-	now := time.Now()
-	warm := &Ticket{Rank: urgent}
-	if granted, err := l.gate.Submit(now, warm); !granted || err != nil {
-		t.Fatal(granted, err)
-	}
-	l.gate.Release(now.Add(100*time.Millisecond), warm)
-	running := &Ticket{Rank: urgent}
-	if granted, err := l.gate.Submit(time.Now(), running); !granted || err != nil {
-		t.Fatal(granted, err)
-	}
-	began := time.Now()
-	_, err := l.Acquire(t.Context(), &call.Call{Rank: urgent, Deadline: began.Add(300 * time.Millisecond)})
-	var late *LateError
-	if took := time.Since(began); !errors.As(err, &late) || took > 260*time.Millisecond {
-		t.Errorf("returned after %s with %v, want a *LateError within 260 ms", took, err)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLimiterWithClock(Limits{Slots: 1, Ranks: []*config.Rank{urgent}}, time.Now)
+		now := time.Now()
+		warm := &Ticket{Rank: urgent}
+		if granted, err := l.gate.Submit(now, warm); !granted || err != nil {
+			t.Fatal(granted, err)
+		}
+		l.gate.Release(now.Add(100*time.Millisecond), warm)
+		running := &Ticket{Rank: urgent}
+		if granted, err := l.gate.Submit(time.Now(), running); !granted || err != nil {
+			t.Fatal(granted, err)
+		}
+		began := time.Now()
+		_, err := l.Acquire(t.Context(), &call.Call{Rank: urgent, Deadline: began.Add(300 * time.Millisecond)})
+		var late *LateError
+		if took := time.Since(began); !errors.As(err, &late) || took > 260*time.Millisecond {
+			t.Errorf("returned after %s with %v, want a *LateError within 260 ms", took, err)
+		}
+	})
 }
