control: complete the member table of a node that became ready by timeout

Cause: a node asks for whole member tables only until it is ready. One that became ready at its join timeout, having heard from a seed of another zone only, knew the other members from the platform's list without their boot and waited for the comparison every 10 ticks with a random peer.

Change: such a node asks a nearby peer at every tick until one has compared its table.

Measured: TestNodeReadyByTimeoutCompletesItsMemberTable failed before (no request within 4 ticks) and passes; go test -race ./internal/control: ok.

--- a/internal/control/anti_entropy.go
+++ b/internal/control/anti_entropy.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/filbertpier/filbertpier/internal/member"
 	"github.com/filbertpier/filbertpier/internal/message"
 )
@@ -17,6 +19,20 @@
 	}
 }
 
+// compareTables compares the member table with a peer every antiEntropyTicks, and
+// with one nearby at every tick while no comparison has ended since the node
+// started: a node that became ready at its join timeout may know few members, and
+// some of them only from the platform's list.
+func (a *Agent) compareTables(now time.Time, view *member.View, self member.Member, tick uint64, out *effects) {
+	switch {
+	case tick%antiEntropyTicks == 0:
+		a.sendTableDigests(view.Region(self.Region), self, out)
+		a.table.Expire(now)
+	case a.join.IsReady() && !a.join.IsTableSynced():
+		a.sendTableDigests(nearestMembers(view, self), self, out)
+	}
+}
+
 // onTableDigests sends the records of all shards whose digests differ. A
 // request is also answered with the node's own digests, sent after the records;
 // that reply tells a joining node that the whole table has been sent.
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -75,10 +75,7 @@
 	if tick%crossRegionHeartbeatTicks == 0 {
 		a.sendCrossRegionHeartbeats(now, view, self, tick, out)
 	}
-	if tick%antiEntropyTicks == 0 {
-		a.sendTableDigests(view.Region(self.Region), self, out)
-		a.table.Expire(now)
-	}
+	a.compareTables(now, view, self, tick, out)
 	a.startDueReads(now, view, self, out)
 }
 
