httpconn: keep the error of a body that ended early

Cause: reads after a broken body returned io.EOF, so a copy that continues after the error would pass the body on as complete. No such copy was found in mesh; this removes the trap.

Operators of a similar system reported a 200 with an empty body after a response head that stopped midway.

--- a/internal/httpconn/body.go
+++ b/internal/httpconn/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"time"
 )
 
@@ -12,15 +13,17 @@
 	// idleTimeout is how long the connection may stay idle in the pool; zero or
 	// less if it must be closed.
 	idleTimeout time.Duration
-	// done is set once the connection was returned to the pool or closed.
-	done bool
+	// end is what further reads return: nil until the connection was returned to
+	// the pool or closed, and io.EOF only after the whole body.
+	end error
 }
 
-// Read implements io.Reader. It returns a *BrokenError if the body ends early.
-// Reads after an error or after Close return io.EOF.
+// Read implements io.Reader. It returns a *BrokenError if the body ends early, and
+// again at each further read. A read after Close of a body that was not read to its
+// end returns a *BrokenError too.
 func (b *body) Read(p []byte) (int, error) {
-	if b.done {
-		return 0, io.EOF
+	if b.end != nil {
+		return 0, b.end
 	}
 	n, err := b.r.Read(p)
 	switch {
@@ -28,7 +31,7 @@
 		b.finish()
 	case err != nil:
 		err = b.x.brokenError(err)
-		b.abort()
+		b.abort(err)
 	}
 	return n, err
 }
@@ -36,8 +39,8 @@
 // Close implements io.Closer. It closes the connection unless the body was read
 // to its end.
 func (b *body) Close() error {
-	if !b.done {
-		b.abort()
+	if b.end == nil {
+		b.abort(b.x.brokenError(net.ErrClosed))
 	}
 	return nil
 }
@@ -46,7 +49,7 @@
 // idleTimeout is not positive, the context has ended, the server sent more than
 // the response, or the request was not written in full.
 func (b *body) finish() {
-	b.done = true
+	b.end = io.EOF
 	x := b.x
 	active := x.stop()
 	if !active || b.idleTimeout <= 0 || !x.requestSent() || x.conn.br.Buffered() > 0 {
@@ -57,8 +60,9 @@
 	x.pool.release(x.addr, x.conn, b.idleTimeout)
 }
 
-func (b *body) abort() {
-	b.done = true
+// abort closes the connection; further reads return err.
+func (b *body) abort(err error) {
+	b.end = err
 	b.x.stop()
 	b.x.conn.close()
 }
