Tests that a response cut in its head or body is no success

Operators of a similar system reported a 200 with an empty or short body after an upstream stopped in the middle of its response head. It cannot happen here: both front ends answer 502 (fpsidecar) or abort and report the call as failed (fpnode).

TestTruncatedResponsesAreDetected has five more places for fpnode.

--- a/internal/dataplane/response_test.go
+++ b/internal/dataplane/response_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -75,12 +76,17 @@
 			_ = rc.Flush()
 			panic(http.ErrAbortHandler)
 		case "close":
-			conn, _, err := rc.Hijack()
-			if err != nil {
-				panic(err)
-			}
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
-			_ = conn.Close()
+			writeRaw(rc, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+		case "status line":
+			writeRaw(rc, "HTTP/1.1 200 OK")
+		case "header name":
+			writeRaw(rc, "HTTP/1.1 200 OK\r\nContent-Le")
+		case "header value":
+			writeRaw(rc, "HTTP/1.1 200 OK\r\nContent-Length: 1")
+		case "end of head":
+			writeRaw(rc, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r")
+		case "last chunk":
+			writeRaw(rc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n")
 		case "refuse":
 			w.Header().Set(call.HeaderRan, string(call.RanNo))
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -88,6 +94,16 @@
 	})
 }
 
+// writeRaw writes text in place of a response and closes the connection.
+func writeRaw(rc *http.ResponseController, text string) {
+	conn, _, err := rc.Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(conn, text)
+	_ = conn.Close()
+}
+
 // TestTruncatedResponsesAreDetected guards against truncated responses that look
 // complete, through the node beside the upstream and through another one, and
 // against reporting a call that the upstream refused as run.
@@ -95,8 +111,8 @@
 	c := nodes.Start(t, clusterSpec("a"), truncatingUpstream)
 	client := newClient(t)
 	for _, v := range c.VMs {
-		for _, how := range []string{"length", "chunks", "close"} {
-			r := send(client, v.URL(), http.MethodPut, "/recall?how="+how, "x")
+		for _, how := range []string{"length", "chunks", "close", "status line", "header name", "header value", "end of head", "last chunk"} {
+			r := send(client, v.URL(), http.MethodPut, "/recall?how="+url.QueryEscape(how), "x")
 			if r.err == nil && r.status < http.StatusInternalServerError {
 				t.Errorf("truncation by %s through %s was not detected: %+v", how, v.Settings.VM, r)
 			}
