mesh: a stopping node takes no call that it cannot finish

Operators of a similar system reported that requests late in the grace of a planned stop were taken, passed on and cut at its end. It could happen here: for half of the grace period every call was taken, whatever its deadline, and 0.55 s before the end of a grace of 3 s the running ones were answered 502, non-idempotent ones among them (test below: 5 calls ran and were cut, on new and kept connections). Calls from other nodes were cut by closing their connections.

Change: stopping.Plan holds the times of a stop. Once callers have had time to switch (2.5 s, at most 0.4 of the grace period), a call is taken only if its deadline is before the node cancels calls; the others are refused at once as not run. Non-idempotent calls from other nodes are held to that from the begin of the stop, since their node can send them elsewhere. CancelCalls now reaches calls from other nodes too, so their nodes get a result.

The call of TestStopUnderLoadAbortsNoCall that is in flight at the drain arrived 0.2 s before it, which is refused now: it arrives earlier and runs longer, so it is in flight for 0.5 s of the drain instead of 0.4 s.

--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -29,16 +29,21 @@
 	s.respondToCaller(r.Context(), w, q, res, attempts)
 }
 
-// serveCancelable serves a call under a context that CancelCalls cancels. A
-// call that was canceled this way ends with ReasonLeaving.
+// serveCancelable serves a call under a context that CancelCalls cancels.
 func (s *Server) serveCancelable(ctx context.Context, cancel func(), q *request) (*result, int) {
 	stop := context.AfterFunc(s.callsCanceled, cancel)
 	defer stop()
 	res, attempts := s.serveReserved(ctx, q)
+	s.markLeaving(res)
+	return res, attempts
+}
+
+// markLeaving sets the reason of a call that CancelCalls canceled, which otherwise
+// looks as if its caller had left.
+func (s *Server) markLeaving(res *result) {
 	if res.reason == ReasonCallerLeft && s.callsCanceled.Err() != nil {
 		res.reason = ReasonLeaving
 	}
-	return res, attempts
 }
 
 // serveReserved reserves bandwidth for the response on the VM's link and serves
--- a/internal/mesh/caller_request.go
+++ b/internal/mesh/caller_request.go
@@ -18,10 +18,7 @@
 func (s *Server) readCallerRequest(w http.ResponseWriter, r *http.Request) (*request, *result) {
 	q := newRequest(r, s.cfg.HeaderNames)
 	if s.draining.Load() {
-		w.Header()["Connection"] = []string{"close"}
-		res := notRun(ReasonLeaving, "")
-		res.expectedWait = minRetryAfter
-		return q, res
+		return q, refuseLeaving(w)
 	}
 	snap := s.cfg.Store.Current()
 	if snap == nil {
@@ -38,6 +35,9 @@
 	q.service, _ = snap.Document.Service(s.trafficSplits.Choose(route))
 	q.deadline = q.arrived.Add(s.allowedTime(r, route.TimeoutMs))
 	q.due = q.arrived.Add(targetLatency(route, q.rank))
+	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromCaller(q.arrived, q.deadline) {
+		return q, refuseLeaving(w)
+	}
 	if limit := snap.Document.CallerLimits().MaxBodyBytes; limit > 0 && r.ContentLength > limit {
 		return q, &result{kind: ResultAnswered, reason: ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge}
 	}
@@ -48,6 +48,15 @@
 	return q, q.bufferBody(r)
 }
 
+// refuseLeaving refuses a call because the node stops, and closes the connection
+// after the response, so that the caller opens its next one to another node.
+func refuseLeaving(w http.ResponseWriter) *result {
+	w.Header()["Connection"] = []string{"close"}
+	res := notRun(ReasonLeaving, "")
+	res.expectedWait = minRetryAfter
+	return res
+}
+
 // allowedTime returns how long the call may take: the time that the sender
 // still waits for it, limited by timeoutMs.
 func (s *Server) allowedTime(r *http.Request, timeoutMs int64) time.Duration {
--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -28,19 +28,34 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	transfer, res := s.reserveLink(q, s.limiter.ServiceTime(q.rank))
-	if res == nil {
-		res = s.runLocal(ctx, q, r.Header.Get(call.HeaderTarget))
-		res.transfer = transfer
-		if res.kind == ResultAnswered {
-			s.responseSizes.Observe(q.rank.Name, len(res.body))
-		}
-	}
+	stop := context.AfterFunc(s.callsCanceled, cancel)
+	defer stop()
+	res := s.servePeerReserved(ctx, q, r.Header.Get(call.HeaderTarget))
+	s.markLeaving(res)
 	defer res.close()
 	s.logAdmission(q, res)
 	s.respondToPeer(r.Context(), w, res)
 }
 
+// servePeerReserved reserves bandwidth for the response on the VM's link and runs
+// the call, or refuses it if the link cannot send the response in time or the node
+// stops.
+func (s *Server) servePeerReserved(ctx context.Context, q *request, targetID string) *result {
+	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromNode(q.deadline, q.idempotent()) {
+		return notRun(ReasonLeaving, "the node stops before the call's deadline")
+	}
+	transfer, refused := s.reserveLink(q, s.limiter.ServiceTime(q.rank))
+	if refused != nil {
+		return refused
+	}
+	res := s.runLocal(ctx, q, targetID)
+	res.transfer = transfer
+	if res.kind == ResultAnswered {
+		s.responseSizes.Observe(q.rank.Name, len(res.body))
+	}
+	return res
+}
+
 // readPeerRequest decodes a call whose route and instance the caller's node has
 // already chosen.
 func (s *Server) readPeerRequest(r *http.Request) (*request, *result) {
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -8,6 +8,7 @@
 	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/httpconn"
 	"github.com/filbertpier/filbertpier/internal/mesh/notice"
+	"github.com/filbertpier/filbertpier/internal/mesh/stopping"
 	"github.com/filbertpier/filbertpier/internal/placement"
 	"github.com/filbertpier/filbertpier/internal/retry"
 	"github.com/filbertpier/filbertpier/internal/split"
@@ -35,8 +36,9 @@
 	// callsCanceled ends once CancelCalls was called.
 	callsCanceled context.Context
 	cancelCalls   context.CancelFunc
-	// unready is set by MarkUnready, draining by Drain.
-	unready, draining atomic.Bool
+	// stopPlan is set by BeginStop, draining by Drain.
+	stopPlan atomic.Pointer[stopping.Plan]
+	draining atomic.Bool
 	// downUntil is when the upstream is tried again after a failed connection
 	// attempt, in Unix nanoseconds.
 	downUntil atomic.Int64
@@ -98,17 +100,18 @@
 }
 
 // Ready reports whether the node can serve callers: it has a configuration
-// version and was not marked unready.
+// version and no planned stop has begun.
 func (s *Server) Ready() bool {
-	return !s.unready.Load() && s.cfg.Store.Current() != nil
+	return s.stopPlan.Load() == nil && s.cfg.Store.Current() != nil
 }
 
-// MarkUnready makes Ready return false. Calls are served as before.
-func (s *Server) MarkUnready() { s.unready.Store(true) }
+// BeginStop begins a planned stop: Ready returns false, and calls that the plan does
+// not take are refused. The caller invokes Drain, CancelCalls and closes the server
+// at the times of the plan.
+func (s *Server) BeginStop(p *stopping.Plan) { s.stopPlan.Store(p) }
 
-// CancelCalls cancels the calls of callers that are still waiting for a
-// response, which then get an error response. Responses that are already being
-// sent continue.
+// CancelCalls cancels the calls that are still waiting for a response, which then
+// get an error response. Responses that are already being sent continue.
 func (s *Server) CancelCalls() { s.cancelCalls() }
 
 // Drain refuses all new calls and closes the caller connections on which they
