--- a/internal/sidecar/uplink_test.go
+++ b/internal/sidecar/uplink_test.go
@@ -59,7 +59,13 @@
 func TestLateResponseIsStillSent(t *testing.T) {
 	const size = 60_000
 	f := newFleet(t)
+	// Both calls run before either is answered. Once the size of the first response
+	// is known, the node refuses a further call, because the link is too busy for it.
+	var running sync.WaitGroup
+	running.Add(2)
 	a := f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
+		running.Done()
+		running.Wait()
 		_, _ = io.WriteString(w, strings.Repeat("x", size))
 	})
 	// Sending both responses takes 3.3 s at the scheduled 90% of the link's rate.
