control: a joining node asks its first seed for the members it left out

It became ready at its join timeout of 500 ms with 2 of 3 members known ('ready: known_members=2') and 0.3 s later reported the owner of an idempotency key, which it did not know, as unavailable. Whether it compared tables before that was up to a timer of 0.25 to 0.75 s and a random choice that includes the node itself.

Change: the first seed to answer is asked at once. One comparison per join.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -124,9 +124,16 @@
 	a.mergeSender(now, m.From, out)
 	a.mergeWithoutForwarding(now, m.Members, out)
 	a.join.RecordVersion(m.From.VM, m.Current, m.Ready, true, m.JoinAttempt)
-	if m.From.Zone == a.self.Get().Zone {
+	self := a.self.Get()
+	if m.From.Zone == self.Zone {
 		a.join.SetTableSynced()
 	}
+	// The first seed to answer, if it is in another zone, is asked at once for the
+	// members that its answer leaves out: the node could become ready before the
+	// next comparison and not know the owners of idempotency keys.
+	if a.join.RequestTableSync() {
+		out.send(self, m.From, a.tableDigests(self, false))
+	}
 	a.fetchVersion(now, m.Current, m.From.VM, out)
 }
 
--- a/internal/control/state/join.go
+++ b/internal/control/state/join.go
@@ -29,6 +29,8 @@
 	// it with the node's. A node that knows only part of the fleet would refuse
 	// calls that others could serve.
 	tableSynced bool
+	// syncRequested is set once RequestTableSync has returned true.
+	syncRequested bool
 }
 
 // Restart begins an attempt to join. After timeout, replies from peers are no
@@ -43,6 +45,19 @@
 	j.responders = map[string]bool{}
 	j.readyResponders = map[string]bool{}
 	j.tableSynced = false
+	j.syncRequested = false
+}
+
+// RequestTableSync reports whether the node still has to ask a peer for its whole
+// member table. It returns true once per attempt at most.
+func (j *Join) RequestTableSync() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.tableSynced || j.syncRequested {
+		return false
+	}
+	j.syncRequested = true
+	return true
 }
 
 // SetTableSynced records that a peer has sent or compared its whole member table.
--- a/internal/control/table_sync_test.go
+++ b/internal/control/table_sync_test.go
@@ -56,6 +56,25 @@
 	}
 }
 
+// Guards against a restarted node that serves calls while it knows the members of
+// its seed's zone only, until its next comparison of the member table: it reported
+// the owner of an idempotency key as unavailable. First seen in
+// TestRollingRestartLosesNoCall.
+func TestJoiningNodeAsksForTheMembersThatItsSeedLeftOut(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a := control.New(control.Config{
+		Self: testMember(0), Keys: testkit.NewPublisher().Keys(), Seed: 1,
+		JoinTimeout: 500 * time.Millisecond, HeartbeatInterval: time.Second,
+	}, snapshot.NewStore())
+	a.Start(now)
+	if n := countDigests(a.HandleMessage(now, &message.JoinResponse{From: testMember(1)})); n != 1 {
+		t.Errorf("%d requests after the answer of a seed of another zone, want 1", n)
+	}
+	if n := countDigests(a.HandleMessage(now, &message.JoinResponse{From: testMember(2)})); n != 0 {
+		t.Errorf("%d requests after the answer of a second seed, want none", n)
+	}
+}
+
 // countDigests returns the number of requests to compare member tables.
 func countDigests(effects []effect.Effect) int {
 	n := 0
