mesh: receive a large request body only when the VM's link has room for it

Only responses were scheduled on the link, not the bodies that a node receives.

Ruled out: priority. Calls of rank p1-150ms go before uploads of p2 at the upstream's node; they did not reach it in time.

Change: a node sends a body above 16 KiB with 'Expect: 100-continue'. The node beside the upstream asks for it when its link has room, earliest due first, at 0.9 of the rate, and refuses at once by the head if the body could not be received and run in time. Loads report the larger backlog of the two directions. A connection that fails before the body was asked for is 'not run' now.

Measured: TestBodiesThatDoNotFitTheLinkAreRefused failed before (11 of 12 served over a link for 3); TestReceivedBodiesDoNotQueueOnTheLink.

--- a/internal/httpconn/broken_error.go
+++ b/internal/httpconn/broken_error.go
@@ -7,7 +7,10 @@
 	// Reused is set if the connection came from the pool. The server may have
 	// closed it while it was idle.
 	Reused bool
-	Err    error
+	// BodyHeld is set if the server had not asked for a body that was held back. It
+	// cannot have processed the request as a whole.
+	BodyHeld bool
+	Err      error
 }
 
 // Error names the address and the cause.
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -44,6 +44,8 @@
 	stop func() bool
 	// bodyWritten receives the outcome of a body that is written concurrently.
 	bodyWritten chan error
+	// bodyHeld is set until the server asks for a body that is held back.
+	bodyHeld bool
 	// skippedStale is set if responses to earlier requests were skipped.
 	skippedStale bool
 }
@@ -75,13 +77,13 @@
 	if cause := context.Cause(x.ctx); cause != nil {
 		err = cause
 	}
-	return &BrokenError{Addr: x.addr, Reused: x.conn.reused, Err: err}
+	return &BrokenError{Addr: x.addr, Reused: x.conn.reused, BodyHeld: x.bodyHeld, Err: err}
 }
 
 // roundTrip writes the request and reads the header of the response.
 func (x *exchange) roundTrip() (*Response, error) {
 	head := x.req.appendHead(make([]byte, 0, 1024))
-	if x.req.bodyBuffered() && len(x.req.Body) <= maxInlineBodyBytes {
+	if !x.req.ExpectContinue && x.req.bodyBuffered() && len(x.req.Body) <= maxInlineBodyBytes {
 		if _, err := x.conn.netConn.Write(append(head, x.req.Body...)); err != nil {
 			return nil, err
 		}
@@ -90,11 +92,17 @@
 			return nil, err
 		}
 		x.bodyWritten = make(chan error, 1)
-		go func() { x.bodyWritten <- x.writeBody() }()
+		if x.bodyHeld = x.req.ExpectContinue; !x.bodyHeld {
+			x.startBody()
+		}
 	}
 	return x.readHead()
 }
 
+func (x *exchange) startBody() {
+	go func() { x.bodyWritten <- x.writeBody() }()
+}
+
 func (x *exchange) writeBody() error {
 	if x.req.Length >= 0 {
 		_, err := io.Copy(x.conn.netConn, x.req.bodyReader())
@@ -119,7 +127,8 @@
 	}
 }
 
-// readHead returns the first final response that belongs to the request.
+// readHead returns the first final response that belongs to the request. It sends
+// the body if it was held back and the server asks for it.
 func (x *exchange) readHead() (*Response, error) {
 	defer x.conn.limiter.unlimit()
 	x.conn.limiter.limit(maxHeadBytes)
@@ -132,6 +141,10 @@
 			if interim++; interim > maxInterimResponses {
 				return nil, &HeadTooLargeError{}
 			}
+			if x.bodyHeld && resp.StatusCode == http.StatusContinue {
+				x.bodyHeld = false
+				x.startBody()
+			}
 			continue
 		}
 		if !x.mismatched(resp) {
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -25,6 +25,10 @@
 	BodyTail io.Reader
 	// Length is the length of the whole body; -1 if unknown.
 	Length int64
+	// ExpectContinue holds the body back until the server asks for it with an
+	// interim response (100). A server that answers without asking gets no body, and
+	// the connection is closed.
+	ExpectContinue bool
 }
 
 // appendHead appends the request line and the header to b.
@@ -43,6 +47,9 @@
 			b = append(b, "\r\n"...)
 		}
 	}
+	if r.ExpectContinue {
+		b = append(b, "Expect: 100-continue\r\n"...)
+	}
 	switch {
 	case r.Length < 0:
 		b = append(b, "Transfer-Encoding: chunked\r\n"...)
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -38,6 +38,7 @@
 	if q.idempotent() {
 		out.Header[headerIdempotent] = []string{"1"}
 	}
+	out.ExpectContinue = q.largeBody()
 	resp, err := s.peers.Do(ctx, net.JoinHostPort(host, s.cfg.PeerPort), out)
 	var dial *httpconn.DialError
 	switch {
@@ -47,6 +48,9 @@
 		return res
 	case err != nil:
 		res := broken(brokenReason(ctx, err), err.Error())
+		if bodyHeld(err) {
+			res.kind = ResultNotRun
+		}
 		// ETIMEDOUT: the node's VM no longer acknowledges TCP segments.
 		res.nodeLost = errors.Is(err, syscall.ETIMEDOUT)
 		return res
@@ -58,6 +62,13 @@
 	return res
 }
 
+// bodyHeld reports whether an exchange failed before the other node asked for the
+// body, so that the call cannot have run.
+func bodyHeld(err error) bool {
+	var broken *httpconn.BrokenError
+	return errors.As(err, &broken) && broken.BodyHeld
+}
+
 // decodeResult decodes the response of the node beside the upstream.
 func (s *Server) decodeResult(ctx context.Context, q *request, resp *httpconn.Response) *result {
 	kind, ok := parseResultKind(resp.Header.Get(headerResult))
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -49,9 +51,14 @@
 // the time left to meet the target latency or the deadline, whichever is
 // earlier.
 func lateness(now time.Time, q *request, backlog, serviceTime, sendTime time.Duration) time.Duration {
-	timeUntilSent := max(backlog, serviceTime) + sendTime
+	return plannedLateness(now, q, backlog, max(backlog, serviceTime)+sendTime)
+}
+
+// plannedLateness returns by how much a time needed on a link with the given backlog
+// exceeds the time planned for it.
+func plannedLateness(now time.Time, q *request, backlog, needed time.Duration) time.Duration {
 	if backlog <= idleBacklog {
-		return timeUntilSent - q.deadline.Sub(now)
+		return needed - q.deadline.Sub(now)
 	}
 	limit := q.due
 	if limit.IsZero() || limit.After(q.deadline) {
@@ -61,7 +68,33 @@
 	if q.otherRegion {
 		share = otherRegionPlannedShare
 	}
-	return timeUntilSent - time.Duration(share*float64(limit.Sub(now)))
+	return needed - time.Duration(share*float64(limit.Sub(now)))
+}
+
+// receiveBody reads the request body. A large one is asked for only once the VM's
+// link has room for it, since bodies queued on the link delay every small call
+// behind them. The call is refused before its body is sent if it could not be
+// received and run in time, or if the target does not accept calls.
+func (s *Server) receiveBody(ctx context.Context, q *request, r *http.Request, targetID string) *result {
+	size := int(r.ContentLength)
+	if size <= uplink.SmallResponseBytes {
+		return q.bufferBody(r)
+	}
+	if _, refused := s.localInstance(targetID); refused != nil {
+		return refused
+	}
+	backlog, receiveTime := s.inbound.Backlog(), s.inbound.Duration(size)
+	needed := backlog + receiveTime + s.limiter.ServiceTime(q.rank)
+	if late := plannedLateness(time.Now(), q, backlog, needed); late > 0 {
+		res := notRun(ReasonLinkBusy, "the link is busy for "+backlog.String()+", receiving the body takes "+receiveTime.String())
+		res.expectedWait = late
+		res.load = s.load()
+		return res
+	}
+	if err := s.inbound.Reserve(size, q.due).Receive(ctx); err != nil {
+		return notRun(contextReason(ctx), "the link had no room for the body: "+err.Error())
+	}
+	return q.bufferBody(r)
 }
 
 // load returns the load that the node reports to senders.
@@ -69,7 +102,7 @@
 	report := s.limiter.Report()
 	return &placement.Load{
 		Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, CallsPerSecond: report.CallsPerSecond,
-		LinkBacklog: s.link.Backlog(), LinkBytesPerSecond: s.cfg.LinkBytesPerSecond,
+		LinkBacklog: max(s.link.Backlog(), s.inbound.Backlog()), LinkBytesPerSecond: s.cfg.LinkBytesPerSecond,
 	}
 }
 
--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -16,11 +16,7 @@
 func (s *Server) PeerHandler() http.Handler { return http.HandlerFunc(s.servePeer) }
 
 func (s *Server) servePeer(w http.ResponseWriter, r *http.Request) {
-	q, refused := s.readPeerRequest(r)
-	if refused != nil {
-		s.respondToPeer(r.Context(), w, refused)
-		return
-	}
+	q := s.readPeerRequest(r)
 	if revision, err := strconv.ParseUint(r.Header.Get(headerRevision), 10, 64); err == nil {
 		if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
 			s.cfg.ObservePeerRevision(host, revision)
@@ -30,20 +26,24 @@
 	defer cancel()
 	stop := context.AfterFunc(s.callsCanceled, cancel)
 	defer stop()
-	res := s.servePeerReserved(ctx, q, r.Header.Get(call.HeaderTarget))
+	res := s.runForPeer(ctx, q, r)
 	s.markLeaving(res)
 	defer res.close()
 	s.logAdmission(q, res)
 	s.respondToPeer(r.Context(), w, res)
 }
 
-// servePeerReserved reserves bandwidth for the response on the VM's link and runs
-// the call, or refuses it if the link cannot send the response in time or the node
-// stops.
-func (s *Server) servePeerReserved(ctx context.Context, q *request, targetID string) *result {
+// runForPeer receives the body, reserves bandwidth for the response and runs the
+// call. It refuses the call before its body is received if the node stops or, if the
+// body is large, if the target is gone or the VM's link has no room.
+func (s *Server) runForPeer(ctx context.Context, q *request, r *http.Request) *result {
+	targetID := r.Header.Get(call.HeaderTarget)
 	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromNode(q.deadline, q.idempotent()) {
 		return notRun(ReasonLeaving, "the node stops before the call's deadline")
 	}
+	if refused := s.receiveBody(ctx, q, r, targetID); refused != nil {
+		return refused
+	}
 	transfer, refused := s.reserveLink(q, s.limiter.ServiceTime(q.rank))
 	if refused != nil {
 		return refused
@@ -56,9 +56,9 @@
 	return res
 }
 
-// readPeerRequest decodes a call whose route and instance the caller's node has
-// already chosen.
-func (s *Server) readPeerRequest(r *http.Request) (*request, *result) {
+// readPeerRequest decodes the header of a call whose route and instance the caller's
+// node has already chosen.
+func (s *Server) readPeerRequest(r *http.Request) *request {
 	q := newRequest(r, s.cfg.HeaderNames)
 	q.otherRegion = r.Header.Get(headerOtherRegion) != ""
 	q.route = &config.Route{Idempotent: r.Header.Get(headerIdempotent) != ""}
@@ -74,7 +74,7 @@
 	}
 	q.header = make(http.Header, len(r.Header)+2)
 	relay.CopyEndToEndHeaders(q.header, r.Header)
-	return q, q.bufferBody(r)
+	return q
 }
 
 // lookupRank returns a rank of the current configuration version. A sender with
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/httpconn"
+	"github.com/filbertpier/filbertpier/internal/uplink"
 )
 
 // request is a call that a node is serving.
@@ -57,5 +58,11 @@
 	}
 }
 
+// largeBody reports whether the body is so large that the node beside the upstream
+// schedules its reception.
+func (q *request) largeBody() bool {
+	return len(q.body) > uplink.SmallResponseBytes || q.bodyTail != nil
+}
+
 // idempotent reports whether the call may run more than once.
 func (q *request) idempotent() bool { return q.route != nil && q.route.Idempotent }
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -29,7 +29,9 @@
 	// callSizes holds the mean total size of request and response by route,
 	// responseSizes the mean size of responses to other nodes by rank.
 	callSizes, responseSizes *placement.MeanSizes
-	link                     *uplink.Link
+	// link schedules the responses that the node sends, inbound the large request
+	// bodies that it receives.
+	link, inbound *uplink.Link
 	// background is the context of the probes of lost nodes; it ends with Run.
 	background    context.Context
 	endBackground context.CancelFunc
@@ -59,6 +61,7 @@
 		callSizes:     placement.NewMeanSizes(),
 		responseSizes: placement.NewMeanSizes(),
 		link:          uplink.NewLink(float64(cfg.LinkBytesPerSecond)),
+		inbound:       uplink.NewLink(float64(cfg.LinkBytesPerSecond)),
 		upstream: httpconn.NewPool(httpconn.Options{
 			IdleTimeout: upstreamIdleTimeout, MaxIdle: 64, DialTimeout: dialTimeout, TCPUserTimeout: upstreamTCPUserTimeout,
 			EchoHeader: cfg.HeaderNames.AttemptID, LocalIP: cfg.LocalIP,
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -287,7 +287,17 @@
 
 // callWith sends a call like call, on a connection of the client.
 func (v *vm) callWith(client *http.Client, method, path string) response {
-	req, err := http.NewRequest(method, "http://"+v.addr(1)+path, nil)
+	return v.send(client, method, path, nil)
+}
+
+// upload sends a POST call with a body on a new connection.
+func (v *vm) upload(path, body string) response {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	return v.send(client, http.MethodPost, path, strings.NewReader(body))
+}
+
+func (v *vm) send(client *http.Client, method, path string, body io.Reader) response {
+	req, err := http.NewRequest(method, "http://"+v.addr(1)+path, body)
 	if err != nil {
 		return response{err: err}
 	}
--- a/internal/sidecar/uplink_test.go
+++ b/internal/sidecar/uplink_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -83,3 +84,47 @@
 		}
 	}
 }
+
+// Guards against large request bodies that the VM's link cannot receive in time: they
+// made small calls behind them miss their deadline. A body that does not fit is
+// refused by its head, before it is sent, and the call does not run.
+func TestBodiesThatDoNotFitTheLinkAreRefused(t *testing.T) {
+	const size = 60_000
+	f := newFleet(t)
+	var received atomic.Int64
+	a := f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		received.Add(n)
+	})
+	a.settings.LinkBytesPerSecond = 200_000
+	a.start()
+	b := f.add("b", "z1", respondAfter(0)).start()
+	for _, v := range f.vms {
+		await(t, "the nodes to be ready", v.ready)
+	}
+	await(t, "the node to know the upstream", func() bool { return b.call("GET", "/safe/x").status == http.StatusOK })
+	before := a.runs.Load()
+	body := strings.Repeat("x", size)
+	var calls sync.WaitGroup
+	var served, refused atomic.Int64
+	began := time.Now()
+	for range 12 {
+		calls.Go(func() {
+			got := b.upload("/once/x", body)
+			switch {
+			case got.status == http.StatusOK:
+				served.Add(1)
+			case got.status == http.StatusServiceUnavailable && got.retryAfter != "" && time.Since(began) < 500*time.Millisecond:
+				refused.Add(1)
+			default:
+				t.Errorf("got %+v after %s, want status 200 or an immediate 503", got, time.Since(began))
+			}
+		})
+	}
+	calls.Wait()
+	// The link receives three bodies a second: 90% of its rate is scheduled.
+	if n := served.Load(); n < 1 || n > 4 || a.runs.Load()-before != n || received.Load() != n*size {
+		t.Errorf("%d served, %d refused, %d runs, %d bytes received, want 1 to 4 served, each run once and with its whole body",
+			n, refused.Load(), a.runs.Load()-before, received.Load())
+	}
+}
--- a/internal/uplink/link.go
+++ b/internal/uplink/link.go
@@ -36,7 +36,7 @@
 // Duration returns how long a number of bytes take on an idle link.
 func (l *Link) Duration(bytes int) time.Duration { return l.scheduler.duration(bytes) }
 
-// Reserve adds the expected size of a response to the backlog. The returned
+// Reserve adds the expected size of a response or body to the backlog. The returned
 // transfer must be closed.
 func (l *Link) Reserve(bytes int, due time.Time) *Transfer {
 	l.mu.Lock()
--- a/internal/uplink/link_test.go
+++ b/internal/uplink/link_test.go
@@ -55,3 +55,48 @@
 		}
 	})
 }
+
+// Guards against large request bodies that all arrive at once and fill the VM's link:
+// on VMs with links of 10 Mbit/s, small calls waited behind uploads of 60 KB until
+// their deadline. Bodies must be asked for in the order in which they are due, and the
+// bytes on their way must never take longer than maxQueueDelay and one body.
+func TestReceivedBodiesDoNotQueueOnTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate, size, bodies = 1_000_000, 60_000, 20
+		l := NewLink(rate)
+		start := time.Now()
+		order := make(chan int, bodies)
+		for i := range bodies {
+			go func() {
+				due := start.Add(time.Duration(bodies-i) * time.Second)
+				if err := l.Reserve(size, due).Receive(t.Context()); err != nil {
+					t.Error(err)
+				}
+				l.mu.Lock()
+				delay := time.Until(l.scheduler.linkFreeAt)
+				limit := maxQueueDelay + l.scheduler.duration(size)
+				l.mu.Unlock()
+				if delay > limit {
+					t.Errorf("%s of bytes on their way, want at most %s", delay, limit)
+				}
+				order <- i
+			}()
+		}
+		synctest.Wait()
+		first := <-order
+		previous := bodies
+		for range bodies - 1 {
+			i := <-order
+			if i == first {
+				continue
+			}
+			if i > previous {
+				t.Errorf("body %d was asked for after body %d, which was due later", i, previous)
+			}
+			previous = i
+		}
+		if took, minimum := time.Since(start), time.Duration(float64((bodies-2)*size)/rate*float64(time.Second)); took < minimum {
+			t.Errorf("%d bodies were asked for within %s, want at least %s", bodies, took, minimum)
+		}
+	})
+}
--- a/internal/uplink/transfer.go
+++ b/internal/uplink/transfer.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Transfer sends one response. It is used by one goroutine.
+// Transfer sends one response or receives one request body. It is used by one goroutine.
 type Transfer struct {
 	link *Link
 	// remaining is the number of bytes that are part of the link's backlog and
@@ -49,6 +49,20 @@
 	return nil
 }
 
+// Receive waits until the other side may send the expected bytes as a whole. The
+// caller then asks it to send them. Receive returns the error of ctx.
+func (t *Transfer) Receive(ctx context.Context) error {
+	bytes := t.remaining
+	if bytes <= SmallResponseBytes {
+		t.Close()
+		t.link.charge(bytes)
+		return nil
+	}
+	err := t.link.acquire(ctx, &chunk{bytes: bytes, due: t.due, ready: make(chan struct{})})
+	t.Close()
+	return err
+}
+
 // Close removes the remaining bytes from the link's backlog. Further calls have
 // no effect.
 func (t *Transfer) Close() { t.setRemaining(0) }
