mesh: charge bytes that are not scheduled to the VM's link

Change: these bytes are charged to the link in their direction, and what is scheduled gets the rest.

--- a/internal/mesh/caller_request.go
+++ b/internal/mesh/caller_request.go
@@ -45,7 +45,7 @@
 	relay.CopyEndToEndHeaders(q.header, r.Header)
 	deleteNodeHeaders(q.header)
 	q.header[s.cfg.HeaderNames.CallerService] = []string{s.cfg.Service}
-	return q, q.bufferBody(r)
+	return q, s.bufferUnscheduled(q, r)
 }
 
 // refuseLeaving refuses a call because the node stops, and closes the connection
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -39,6 +39,7 @@
 		out.Header[headerIdempotent] = []string{"1"}
 	}
 	out.ExpectContinue = q.largeBody()
+	s.link.Charge(len(q.body))
 	resp, err := s.peers.Do(ctx, net.JoinHostPort(host, s.cfg.PeerPort), out)
 	var dial *httpconn.DialError
 	switch {
@@ -79,6 +80,7 @@
 	var res *result
 	if kind == ResultAnswered {
 		res = s.bufferResponse(ctx, q, resp)
+		s.inbound.Charge(len(res.body))
 	} else {
 		_, _ = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -78,7 +78,7 @@
 func (s *Server) receiveBody(ctx context.Context, q *request, r *http.Request, targetID string) *result {
 	size := int(r.ContentLength)
 	if size <= uplink.SmallResponseBytes {
-		return q.bufferBody(r)
+		return s.bufferUnscheduled(q, r)
 	}
 	if _, refused := s.localInstance(targetID); refused != nil {
 		return refused
@@ -97,6 +97,14 @@
 	return q.bufferBody(r)
 }
 
+// bufferUnscheduled reads a request body and counts it as received without being
+// scheduled, as are all bodies of callers: they are sent before the node can ask.
+func (s *Server) bufferUnscheduled(q *request, r *http.Request) *result {
+	refused := q.bufferBody(r)
+	s.inbound.Charge(len(q.body))
+	return refused
+}
+
 // load returns the load that the node reports to senders.
 func (s *Server) load() *placement.Load {
 	report := s.limiter.Report()
--- a/internal/uplink/link.go
+++ b/internal/uplink/link.go
@@ -89,8 +89,9 @@
 	l.grantReady()
 }
 
-// charge counts bytes that are sent without being scheduled.
-func (l *Link) charge(bytes int) {
+// Charge counts bytes that use the link without being scheduled. Scheduled ones get
+// the rest of the bandwidth.
+func (l *Link) Charge(bytes int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.scheduler.Charge(time.Now(), bytes)
--- a/internal/uplink/transfer.go
+++ b/internal/uplink/transfer.go
@@ -29,7 +29,7 @@
 func (t *Transfer) Write(ctx context.Context, w io.Writer, body []byte) error {
 	if len(body) <= SmallResponseBytes {
 		t.Close()
-		t.link.charge(len(body))
+		t.link.Charge(len(body))
 		_, err := w.Write(body)
 		return err
 	}
@@ -55,7 +55,7 @@
 	bytes := t.remaining
 	if bytes <= SmallResponseBytes {
 		t.Close()
-		t.link.charge(bytes)
+		t.link.Charge(bytes)
 		return nil
 	}
 	err := t.link.acquire(ctx, &chunk{bytes: bytes, due: t.due, ready: make(chan struct{})})
