placement, mesh: keep the sizes of a call's two directions apart

Cause: a route had one mean size, of request and response together. The caller's node reserved its link for a response of 65 KB to an upload whose response has 5 KB, and refused uploads for it. Loads reported one backlog of the link, so uploads and downloads avoided VMs that were busy in the other direction.

Change: Query has RequestBytes and ResponseBytes, routes keep the mean size of responses, loads report the backlog of bodies to receive besides that of responses. Nodes of earlier builds ignore the added number.

Measured: TestUploadsReserveTheLinkForTheirResponsesOnly failed before (503), TestLargeBodiesAvoidBusyLinks and TestDecodeLoadWithReceiveBacklog are new.

--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -49,7 +49,7 @@
 // serveReserved reserves bandwidth for the response on the VM's link and serves
 // the call, or refuses it if the link cannot send the response in time.
 func (s *Server) serveReserved(ctx context.Context, q *request) (*result, int) {
-	q.responseBytes = s.callSizes.Get(q.route.Name)
+	q.responseBytes = s.routeSizes.Get(q.route.Name)
 	transfer, refused := s.reserveLink(q, s.chooser.ServiceTime(q.service.Name, q.rank.Order))
 	if refused != nil {
 		return refused, 0
@@ -71,7 +71,7 @@
 	for attempt := 1; attempt <= maxAttemptsPerCall; attempt++ {
 		choice, ok := s.chooser.Choose(time.Now(), placement.Query{
 			Candidates: s.cfg.Directory.Service(q.service.Selector), Zone: s.cfg.Zone, Region: s.cfg.Region, LocalAddr: s.cfg.UpstreamAddr,
-			Order: q.rank.Order, Target: time.Until(q.due), Bytes: s.callSizes.Get(q.route.Name), Exclude: tried, Rand: q.rng,
+			Order: q.rank.Order, Target: time.Until(q.due), RequestBytes: len(q.body), ResponseBytes: q.responseBytes, Exclude: tried, Rand: q.rng,
 		})
 		if !ok {
 			if last == nil {
@@ -150,7 +150,7 @@
 		s.chooser.ObserveRoundTrip(to.Zone, total-res.nodeTime)
 	}
 	if res.kind == ResultAnswered {
-		s.callSizes.Observe(q.route.Name, len(q.body)+len(res.body))
+		s.routeSizes.Observe(q.route.Name, len(res.body))
 		s.observeLeaving(to, res.header)
 	}
 	s.cfg.Metrics.Attempts.WithLabelValues(to.Service, res.kind.String(), string(res.reason)).Inc()
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -39,7 +39,9 @@
 		out.Header[headerIdempotent] = []string{"1"}
 	}
 	out.ExpectContinue = q.largeBody()
-	s.link.Charge(len(q.body))
+	if !out.ExpectContinue {
+		s.link.Charge(len(q.body))
+	}
 	resp, err := s.peers.Do(ctx, net.JoinHostPort(host, s.cfg.PeerPort), out)
 	var dial *httpconn.DialError
 	switch {
@@ -57,6 +59,9 @@
 		return res
 	}
 	res := s.decodeResult(ctx, q, resp)
+	if out.ExpectContinue && res.kind != ResultNotRun {
+		s.link.Charge(len(q.body))
+	}
 	if res.revision > 0 {
 		s.cfg.ObservePeerRevision(host, res.revision)
 	}
@@ -99,17 +104,20 @@
 }
 
 // decodeLoad decodes call.HeaderLoad, which holds the number of running and of
-// waiting calls, the slots, the link's backlog in milliseconds, its rate in bytes
-// per second and the limit of calls per second, which nodes of earlier builds
-// omit. It returns nil if the text is malformed.
+// waiting calls, the slots, the link's backlog of responses in milliseconds, its
+// rate in bytes per second, the limit of calls per second and the link's backlog of
+// request bodies in milliseconds. Nodes of earlier builds omit the last two. It
+// returns nil if the text is malformed.
 func decodeLoad(text string) *placement.Load {
 	var l placement.Load
-	var backlogMs int64
-	n, _ := fmt.Sscanf(text, "%d %d %d %d %d %g", &l.Running, &l.Waiting, &l.Slots, &backlogMs, &l.LinkBytesPerSecond, &l.CallsPerSecond)
+	var backlogMs, receiveBacklogMs int64
+	n, _ := fmt.Sscanf(text, "%d %d %d %d %d %g %d", &l.Running, &l.Waiting, &l.Slots, &backlogMs, &l.LinkBytesPerSecond,
+		&l.CallsPerSecond, &receiveBacklogMs)
 	if n < 5 {
 		return nil
 	}
 	l.LinkBacklog = time.Duration(backlogMs) * time.Millisecond
+	l.ReceiveBacklog = time.Duration(receiveBacklogMs) * time.Millisecond
 	return &l
 }
 
@@ -125,8 +133,9 @@
 func (s *Server) encodeResult(h http.Header, res *result) {
 	h[headerResult] = []string{res.kind.String()}
 	if res.load != nil {
-		h[call.HeaderLoad] = []string{fmt.Sprintf("%d %d %d %d %d %g", res.load.Running, res.load.Waiting, res.load.Slots,
-			res.load.LinkBacklog.Milliseconds(), res.load.LinkBytesPerSecond, res.load.CallsPerSecond)}
+		h[call.HeaderLoad] = []string{fmt.Sprintf("%d %d %d %d %d %g %d", res.load.Running, res.load.Waiting, res.load.Slots,
+			res.load.LinkBacklog.Milliseconds(), res.load.LinkBytesPerSecond, res.load.CallsPerSecond,
+			res.load.ReceiveBacklog.Milliseconds())}
 	}
 	h[headerTimes] = []string{strconv.FormatInt(res.runTime.Microseconds(), 10) + " " + strconv.FormatInt(res.nodeTime.Microseconds(), 10)}
 	h[headerRevision] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
--- a/internal/mesh/forward_test.go
+++ b/internal/mesh/forward_test.go
@@ -1,6 +1,9 @@
 package mesh
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // Guards against refusing load reports of nodes of the previous build, which name
 // no limit.
@@ -14,3 +17,12 @@
 		t.Errorf("got %+v from a malformed report, want nil", l)
 	}
 }
+
+// Guards against a load report that loses the backlog of bodies to receive on its
+// way between nodes.
+func TestDecodeLoadWithReceiveBacklog(t *testing.T) {
+	l := decodeLoad("3 4 18 20 125000 0 350")
+	if l == nil || l.LinkBacklog != 20*time.Millisecond || l.ReceiveBacklog != 350*time.Millisecond {
+		t.Errorf("got %+v, want backlogs of 20 ms and 350 ms", l)
+	}
+}
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -110,7 +110,7 @@
 	report := s.limiter.Report()
 	return &placement.Load{
 		Running: report.Running, Waiting: report.Waiting, Slots: report.Slots, CallsPerSecond: report.CallsPerSecond,
-		LinkBacklog: max(s.link.Backlog(), s.inbound.Backlog()), LinkBytesPerSecond: s.cfg.LinkBytesPerSecond,
+		LinkBacklog: s.link.Backlog(), ReceiveBacklog: s.inbound.Backlog(), LinkBytesPerSecond: s.cfg.LinkBytesPerSecond,
 	}
 }
 
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -23,8 +23,7 @@
 	// call is sent only once.
 	bodyTail io.Reader
 	length   int64
-	// responseBytes is the expected size of the response; zero if unknown. The
-	// caller's node estimates it by the mean total size of request and response.
+	// responseBytes is the expected size of the response; zero if unknown.
 	responseBytes int
 	// otherRegion is set on calls from nodes in other regions.
 	otherRegion bool
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -26,9 +26,9 @@
 	peers         *httpconn.Pool
 	trafficSplits *split.Chooser
 	prober        *prober
-	// callSizes holds the mean total size of request and response by route,
-	// responseSizes the mean size of responses to other nodes by rank.
-	callSizes, responseSizes *placement.MeanSizes
+	// routeSizes holds the mean size of responses by route, responseSizes that of
+	// responses to other nodes by rank.
+	routeSizes, responseSizes *placement.MeanSizes
 	// link schedules the responses that the node sends, inbound the large request
 	// bodies that it receives.
 	link, inbound *uplink.Link
@@ -58,7 +58,7 @@
 		budgets:       retry.NewBudgetsWithOptions(retry.Options{OutermostReserve: retryReserve, NestedReserve: retryReserve}),
 		limiter:       admission.NewLimiter(1),
 		trafficSplits: split.NewChooser(),
-		callSizes:     placement.NewMeanSizes(),
+		routeSizes:    placement.NewMeanSizes(),
 		responseSizes: placement.NewMeanSizes(),
 		link:          uplink.NewLink(float64(cfg.LinkBytesPerSecond)),
 		inbound:       uplink.NewLink(float64(cfg.LinkBytesPerSecond)),
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -25,9 +25,9 @@
 	// the sender's region is fast enough. Service times vary by a factor of two or
 	// more, so the expected time must stay below half of the target.
 	sameRegionTargetShare = 0.45
-	// smallCallBytes is the size of request and response together up to which
-	// the response does not queue for the VM's link.
-	smallCallBytes = 16 << 10
+	// smallBodyBytes is the size up to which a request body or a response does not
+	// queue for the VM's link.
+	smallBodyBytes = 16 << 10
 	// The extra delay accepted per KiB of a call to keep it within the zone or the
 	// region.
 	crossZoneDelayPerKiB   = time.Millisecond
@@ -115,8 +115,8 @@
 		}
 		cost = s.expectedTime(now, q.Order, i.Slots, serviceTime)
 		available = !s.nodeDown && !now.Before(s.ejectedUntil)
-		if i.Addr != q.LocalAddr && q.Bytes > smallCallBytes {
-			cost += s.linkTime(now, q.Bytes)
+		if i.Addr != q.LocalAddr {
+			cost += s.linkTime(now, q.RequestBytes, s.load.ReceiveBacklog) + s.linkTime(now, q.ResponseBytes, s.load.LinkBacklog)
 		}
 		busyFor = s.busyUntil[rankClass(q.Order)].Sub(now)
 	})
@@ -138,7 +138,7 @@
 // large call stays in the sender's zone unless that is slower by more than this
 // cost.
 func transferCost(q *Query, i *instance.Instance) float64 {
-	kib := float64(q.Bytes) / 1024
+	kib := float64(q.RequestBytes+q.ResponseBytes) / 1024
 	switch {
 	case i.Zone == q.Zone:
 		return 0
--- a/internal/placement/chooser_test.go
+++ b/internal/placement/chooser_test.go
@@ -65,12 +65,39 @@
 	if got := chosenOf100(c, start, q); got["sibling"] < 90 {
 		t.Errorf("small responses: choices %v, want at least 90 on sibling", got)
 	}
-	q.Bytes = 90 << 10
+	q.ResponseBytes = 90 << 10
 	if got := chosenOf100(c, start, q); got["own"] != 100 {
 		t.Errorf("large responses: choices %v, want 100 on own", got)
 	}
 }
 
+// Guards against sending a large request body to a VM whose link has many bodies to
+// receive, and against keeping small calls or large responses away from it.
+func TestLargeBodiesAvoidBusyLinks(t *testing.T) {
+	receiving, idle := newInstance("receiving", "z1", "r1"), newInstance("idle", "z1", "r1")
+	c := NewChooser()
+	for _, i := range []*instance.Instance{receiving, idle} {
+		load := &Load{Slots: 4, LinkBytesPerSecond: 1_250_000}
+		if i == receiving {
+			load.ReceiveBacklog = 500 * time.Millisecond
+		}
+		c.Start(start, i)
+		c.Finish(start, i, Outcome{Kind: Completed, ServiceTime: 50 * time.Millisecond, Load: load})
+	}
+	q := query(receiving, idle)
+	if got := chosenOf100(c, start, q); got["receiving"] < 20 {
+		t.Errorf("small calls: choices %v, want at least 20 on the receiving VM", got)
+	}
+	q.ResponseBytes = 90 << 10
+	if got := chosenOf100(c, start, q); got["receiving"] < 20 {
+		t.Errorf("large responses: choices %v, want at least 20 on the receiving VM", got)
+	}
+	q.RequestBytes = 60 << 10
+	if got := chosenOf100(c, start, q); got["idle"] != 100 {
+		t.Errorf("large bodies: choices %v, want 100 on the idle VM", got)
+	}
+}
+
 // Guards against calls to an upstream that has just failed, and against an
 // ejection that does not end.
 func TestFailingUpstreamIsEjectedTemporarily(t *testing.T) {
--- a/internal/placement/instance_stats.go
+++ b/internal/placement/instance_stats.go
@@ -163,12 +163,13 @@
 	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
 }
 
-// linkTime returns the expected time in seconds that a response of the given size
-// waits for the VM's link and takes to transmit; zero if the link is unlimited.
-func (s *instanceStats) linkTime(now time.Time, bytes int) float64 {
-	if s.load.LinkBytesPerSecond <= 0 {
+// linkTime returns the expected time in seconds that a body of the given size waits
+// for the VM's link, whose backlog in its direction is the one last reported, and
+// takes to transmit; zero if it is small or the link is unlimited.
+func (s *instanceStats) linkTime(now time.Time, bytes int, reported time.Duration) float64 {
+	if s.load.LinkBytesPerSecond <= 0 || bytes <= smallBodyBytes {
 		return 0
 	}
-	backlog := max(s.load.LinkBacklog-now.Sub(s.loadAt), 0)
+	backlog := max(reported-now.Sub(s.loadAt), 0)
 	return backlog.Seconds() + float64(bytes)/float64(s.load.LinkBytesPerSecond)
 }
--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -19,9 +19,9 @@
 	// Target is the time that remains until the response loses worth. At zero or
 	// below, the sender's region is not preferred.
 	Target time.Duration
-	// Bytes is the expected size of request and response together; zero if
-	// unknown.
-	Bytes int
+	// RequestBytes is the size of the request body, ResponseBytes the expected size
+	// of the response; zero if unknown.
+	RequestBytes, ResponseBytes int
 	// Exclude holds the ids of instances that the call has already tried.
 	Exclude []string
 	// Rand must not be shared with concurrent calls.
--- a/internal/sidecar/uplink_test.go
+++ b/internal/sidecar/uplink_test.go
@@ -128,3 +128,29 @@
 			n, refused.Load(), a.runs.Load()-before, received.Load())
 	}
 }
+
+// Guards against reserving the link for the request body of an upload as if the
+// response had its size: calls with small responses were refused because of it.
+func TestUploadsReserveTheLinkForTheirResponsesOnly(t *testing.T) {
+	f := newFleet(t)
+	a := f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		respondAfter(50*time.Millisecond)(w, r)
+	})
+	a.settings.LinkBytesPerSecond = 200_000
+	a.start()
+	await(t, "the node to be ready", a.ready)
+	body := strings.Repeat("x", 60_000)
+	if got := a.upload("/once/x", body); got.status != http.StatusOK {
+		t.Fatalf("first upload: got %+v, want status 200", got)
+	}
+	var calls sync.WaitGroup
+	for range 12 {
+		calls.Go(func() {
+			if got := a.upload("/once/x", body); got.status != http.StatusOK {
+				t.Errorf("got %+v, want status 200", got)
+			}
+		})
+	}
+	calls.Wait()
+}
