admission: refuse calls of a starved rank instead of letting them wait

A rank that gets no slot, because more urgent ones use all, decayed to zero; every call then seemed to end in time. 108 calls of repair-booking waited for the upstream of pamplemousses-2 at once, each 2.5 s until its deadline, and their callers got 504 although nothing had run.

Ruled out: no decay. It lets a slow period refuse a rank for good, which is why it is there (TestServiceTimeFollowsOtherRanksAfterASlowPeriod).

Change: without samples of its own, a rank's estimate approaches that of all ranks together, if that is lower, instead of zero.

Measured: TestGateRefusesCallsOfAStarvedRank failed before (49 of 49 calls accepted) and passes.

--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -12,6 +12,8 @@
 	limits  Limits
 	pace    pace
 	running int
+	// service is the service time of all ranks together.
+	service serviceTime
 	// advancedAt is the time up to which the usage of the ranks is counted.
 	advancedAt time.Time
 	// base is the time of the first call of sinceBase.
@@ -116,6 +118,7 @@
 	e.usage.removeRunning(s.sinceBase(now) - runTime)
 	if runTime > 0 {
 		e.usage.service.observe(now, runTime)
+		s.service.observe(now, runTime)
 	} else {
 		s.pace.giveBack()
 	}
@@ -151,7 +154,7 @@
 // uses at least half of the slots, the mean age of its running calls is a lower
 // bound: it reveals a slow or cold upstream before the first of them ends.
 func (s *scheduler) serviceTime(now time.Time, e *rankEntry) time.Duration {
-	estimate := e.usage.service.estimate(now)
+	estimate := e.usage.service.estimateBeside(now, s.service.estimate(now))
 	if 2*e.usage.running >= s.limits.maxRunning() {
 		estimate = max(estimate, e.usage.meanAge(s.sinceBase(now)))
 	}
--- a/internal/admission/service_time.go
+++ b/internal/admission/service_time.go
@@ -45,6 +45,20 @@
 	return s.decayed(now, s.mean)
 }
 
+// estimateBeside is estimate for a rank beside the estimate of all ranks together.
+// While no call of the rank ends, it approaches that one if it is lower: other calls
+// show that the upstream is not as slow any more. It does not approach zero, at which
+// every call would seem to end in time.
+func (s *serviceTime) estimateBeside(now time.Time, all time.Duration) time.Duration {
+	own := s.estimate(now)
+	last := time.Duration(s.mean * float64(time.Second))
+	if last <= 0 {
+		return own
+	}
+	forgotten := 1 - float64(own)/float64(last)
+	return own + time.Duration(forgotten*float64(min(all, last)))
+}
+
 // meanDeviation returns the mean absolute deviation of the samples from the mean.
 func (s *serviceTime) meanDeviation(now time.Time) time.Duration { return s.decayed(now, s.deviation) }
 
