--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -31,7 +31,7 @@
 // if the response, which takes the given service time to produce, could not be
 // sent in time.
 func (s *Server) reserveLink(q *request, serviceTime time.Duration) (*uplink.Transfer, *result) {
-	if q.responseBytes <= uplink.SmallResponseBytes {
+	if q.responseBytes <= uplink.SmallBodyBytes {
 		return s.link.Reserve(q.responseBytes, q.due), nil
 	}
 	backlog, sendTime := s.link.Backlog(), s.link.Duration(q.responseBytes)
@@ -77,7 +77,7 @@
 // received and run in time, or if the target does not accept calls.
 func (s *Server) receiveBody(ctx context.Context, q *request, r *http.Request, targetID string) *result {
 	size := int(r.ContentLength)
-	if size <= uplink.SmallResponseBytes {
+	if size <= uplink.SmallBodyBytes {
 		return s.bufferUnscheduled(q, r)
 	}
 	if _, refused := s.localInstance(targetID); refused != nil {
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -60,7 +60,7 @@
 // largeBody reports whether the body is so large that the node beside the upstream
 // schedules its reception.
 func (q *request) largeBody() bool {
-	return len(q.body) > uplink.SmallResponseBytes || q.bodyTail != nil
+	return len(q.body) > uplink.SmallBodyBytes || q.bodyTail != nil
 }
 
 // idempotent reports whether the call may run more than once.
--- a/internal/uplink/link.go
+++ b/internal/uplink/link.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// SmallResponseBytes is the size up to which a response is sent without being
-// scheduled.
-const SmallResponseBytes = 16 << 10
+// SmallBodyBytes is the size up to which a response or a request body is sent
+// without being scheduled.
+const SmallBodyBytes = 16 << 10
 
-// Link schedules the sending of large responses on the VM's link. It is safe
-// for concurrent use.
+// Link schedules one direction of the VM's link: the sending of large responses or
+// the reception of large request bodies. It is safe for concurrent use.
 type Link struct {
 	// mu guards the other fields.
 	mu        sync.Mutex
--- a/internal/uplink/transfer.go
+++ b/internal/uplink/transfer.go
@@ -23,11 +23,11 @@
 	t.remaining = bytes
 }
 
-// Write sends a response or a part of it. More than SmallResponseBytes are sent
+// Write sends a response or a part of it. More than SmallBodyBytes are sent
 // in chunks that the link schedules. The bytes of body replace the expected ones
 // in the link's backlog. Write returns the error of ctx or of w.
 func (t *Transfer) Write(ctx context.Context, w io.Writer, body []byte) error {
-	if len(body) <= SmallResponseBytes {
+	if len(body) <= SmallBodyBytes {
 		t.Close()
 		t.link.Charge(len(body))
 		_, err := w.Write(body)
@@ -53,7 +53,7 @@
 // caller then asks it to send them. Receive returns the error of ctx.
 func (t *Transfer) Receive(ctx context.Context) error {
 	bytes := t.remaining
-	if bytes <= SmallResponseBytes {
+	if bytes <= SmallBodyBytes {
 		t.Close()
 		t.link.Charge(bytes)
 		return nil
