--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -167,7 +167,7 @@
 	if err != nil {
 		return
 	}
-	s.prober.start(s.background, to.ID, net.JoinHostPort(host, s.cfg.PeerPort),
+	s.prober.Start(s.background, to.ID, net.JoinHostPort(host, s.cfg.PeerPort),
 		func() bool { return s.cfg.Directory.Get(to.ID) != nil },
 		func() { s.chooser.ObserveRecovery(time.Now(), to) })
 }
--- a/internal/mesh/prober_test.go
+++ b/internal/mesh/probe/prober_test.go
@@ -1,4 +1,4 @@
-package mesh
+package probe
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var attempts, recovered atomic.Int64
 		start := time.Now()
-		p := newProber(func(context.Context, string) error {
+		p := NewProber(func(context.Context, string) error {
 			attempts.Add(1)
 			if time.Since(start) < 5*time.Second {
 				return &httpconn.DialError{}
@@ -24,7 +24,7 @@
 			return nil
 		})
 		for range 100 {
-			p.start(t.Context(), "i", "a", func() bool { return true }, func() { recovered.Add(1) })
+			p.Start(t.Context(), "i", "a", func() bool { return true }, func() { recovered.Add(1) })
 		}
 		time.Sleep(5*time.Second + maxProbeBackoff)
 		synctest.Wait()
@@ -41,11 +41,11 @@
 		needed := atomic.Bool{}
 		needed.Store(true)
 		var attempts, finished atomic.Int64
-		p := newProber(func(context.Context, string) error {
+		p := NewProber(func(context.Context, string) error {
 			attempts.Add(1)
 			return &httpconn.DialError{}
 		})
-		p.start(t.Context(), "i", "a", needed.Load, func() { finished.Add(1) })
+		p.Start(t.Context(), "i", "a", needed.Load, func() { finished.Add(1) })
 		time.Sleep(3 * time.Second)
 		needed.Store(false)
 		before := attempts.Load()
@@ -65,9 +65,9 @@
 func TestProberReportsEachInstanceOfANode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var recovered atomic.Int64
-		p := newProber(func(context.Context, string) error { return nil })
+		p := NewProber(func(context.Context, string) error { return nil })
 		for _, id := range []string{"before", "after"} {
-			p.start(t.Context(), id, "a", func() bool { return true }, func() { recovered.Add(1) })
+			p.Start(t.Context(), id, "a", func() bool { return true }, func() { recovered.Add(1) })
 		}
 		time.Sleep(maxProbeBackoff)
 		if recovered.Load() != 2 {
--- a/internal/mesh/prober_shard.go
+++ b/internal/mesh/probe/shard.go
@@ -1,9 +1,9 @@
-package mesh
+package probe
 
 import "sync"
 
-// proberShard holds the ids of the instances that are being probed.
-type proberShard struct {
+// shard holds the ids of the instances that are being probed.
+type shard struct {
 	// mu guards active.
 	mu     sync.Mutex
 	active map[string]struct{}
@@ -11,7 +11,7 @@
 
 // tryStart records a probe of the instance; it returns false if one is already
 // running.
-func (s *proberShard) tryStart(id string) bool {
+func (s *shard) tryStart(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.active[id]; ok {
@@ -21,7 +21,7 @@
 	return true
 }
 
-func (s *proberShard) finish(id string) {
+func (s *shard) finish(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.active, id)
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -8,6 +8,7 @@
 	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/httpconn"
 	"github.com/filbertpier/filbertpier/internal/mesh/notice"
+	"github.com/filbertpier/filbertpier/internal/mesh/probe"
 	"github.com/filbertpier/filbertpier/internal/mesh/stopping"
 	"github.com/filbertpier/filbertpier/internal/placement"
 	"github.com/filbertpier/filbertpier/internal/retry"
@@ -25,7 +26,7 @@
 	upstream      *httpconn.Pool
 	peers         *httpconn.Pool
 	trafficSplits *split.Chooser
-	prober        *prober
+	prober        *probe.Prober
 	// routeSizes holds the mean size of responses by route, responseSizes that of
 	// responses to other nodes by rank.
 	routeSizes, responseSizes *placement.MeanSizes
@@ -72,7 +73,7 @@
 	}
 	s.background, s.endBackground = context.WithCancel(context.Background())
 	s.callsCanceled, s.cancelCalls = context.WithCancel(context.Background())
-	s.prober = newProber(s.peers.Warm)
+	s.prober = probe.NewProber(s.peers.Warm)
 	return s
 }
 
