--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -24,21 +24,7 @@
 	if err != nil {
 		return notRun(ReasonUnreachable, err.Error())
 	}
-	out := q.outgoing()
-	out.Header[s.cfg.HeaderNames.TimeLeft] = []string{strconv.FormatInt(time.Until(q.deadline).Milliseconds(), 10)}
-	out.Header[call.HeaderTarget] = []string{to.ID}
-	out.Header[call.HeaderRank] = []string{q.rank.Name}
-	out.Header[headerRevision] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
-	returnTime := s.chooser.RoundTrip(s.cfg.Zone, s.cfg.Region, to) + s.link.Duration(q.responseBytes)
-	out.Header[headerDue] = []string{strconv.FormatInt((time.Until(q.due) - returnTime).Milliseconds(), 10)}
-	out.Header[headerResponseBytes] = []string{strconv.Itoa(q.responseBytes)}
-	if to.Region != s.cfg.Region {
-		out.Header[headerOtherRegion] = []string{"1"}
-	}
-	if q.idempotent() {
-		out.Header[headerIdempotent] = []string{"1"}
-	}
-	out.ExpectContinue = q.largeBody()
+	out := s.peerRequest(q, to)
 	if !out.ExpectContinue {
 		s.link.Charge(len(q.body))
 	}
@@ -68,6 +54,27 @@
 	return res
 }
 
+// peerRequest returns the request for the node beside an instance. A large body is
+// held back until that node asks for it.
+func (s *Server) peerRequest(q *request, to *instance.Instance) *httpconn.Request {
+	out := q.outgoing()
+	out.Header[s.cfg.HeaderNames.TimeLeft] = []string{strconv.FormatInt(time.Until(q.deadline).Milliseconds(), 10)}
+	out.Header[call.HeaderTarget] = []string{to.ID}
+	out.Header[call.HeaderRank] = []string{q.rank.Name}
+	out.Header[headerRevision] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
+	returnTime := s.chooser.RoundTrip(s.cfg.Zone, s.cfg.Region, to) + s.link.Duration(q.responseBytes)
+	out.Header[headerDue] = []string{strconv.FormatInt((time.Until(q.due) - returnTime).Milliseconds(), 10)}
+	out.Header[headerResponseBytes] = []string{strconv.Itoa(q.responseBytes)}
+	if to.Region != s.cfg.Region {
+		out.Header[headerOtherRegion] = []string{"1"}
+	}
+	if q.idempotent() {
+		out.Header[headerIdempotent] = []string{"1"}
+	}
+	out.ExpectContinue = q.largeBody()
+	return out
+}
+
 // bodyHeld reports whether an exchange failed before the other node asked for the
 // body, so that the call cannot have run.
 func bodyHeld(err error) bool {
--- a/internal/uplink/link.go
+++ b/internal/uplink/link.go
@@ -25,8 +25,8 @@
 	return &Link{scheduler: NewScheduler(bytesPerSecond)}
 }
 
-// Backlog returns how long the link needs for the responses that have bandwidth
-// reserved or are being sent.
+// Backlog returns how long the link needs for the responses or bodies that have
+// bandwidth reserved or are on their way.
 func (l *Link) Backlog() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
