mesh: CancelCalls leaves responses to other nodes that are being sent

A response above 1 MiB, which is read while it is sent, would have been cut although CancelCalls says that it continues.

Change: both handlers use one function, untilCanceled, which has no effect once the call is answered.

--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -24,26 +24,27 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	res, attempts := s.serveCancelable(ctx, cancel, q)
+	attempts := 0
+	res := s.untilCanceled(cancel, func() (res *result) {
+		res, attempts = s.serveReserved(ctx, q)
+		return res
+	})
 	defer res.close()
 	s.respondToCaller(r.Context(), w, q, res, attempts)
 }
 
-// serveCancelable serves a call under a context that CancelCalls cancels.
-func (s *Server) serveCancelable(ctx context.Context, cancel func(), q *request) (*result, int) {
+// untilCanceled runs serve, which CancelCalls cancels by calling cancel. It has no
+// effect after serve has returned, so that responses that are being sent continue. A
+// call that was canceled this way ends with ReasonLeaving; it otherwise looks as if
+// its caller had left.
+func (s *Server) untilCanceled(cancel func(), serve func() *result) *result {
 	stop := context.AfterFunc(s.callsCanceled, cancel)
 	defer stop()
-	res, attempts := s.serveReserved(ctx, q)
-	s.markLeaving(res)
-	return res, attempts
-}
-
-// markLeaving sets the reason of a call that CancelCalls canceled, which otherwise
-// looks as if its caller had left.
-func (s *Server) markLeaving(res *result) {
+	res := serve()
 	if res.reason == ReasonCallerLeft && s.callsCanceled.Err() != nil {
 		res.reason = ReasonLeaving
 	}
+	return res
 }
 
 // serveReserved reserves bandwidth for the response on the VM's link and serves
--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -24,10 +24,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	stop := context.AfterFunc(s.callsCanceled, cancel)
-	defer stop()
-	res := s.runForPeer(ctx, q, r)
-	s.markLeaving(res)
+	res := s.untilCanceled(cancel, func() *result { return s.runForPeer(ctx, q, r) })
 	defer res.close()
 	s.logAdmission(q, res)
 	s.respondToPeer(r.Context(), w, res)
