mesh, uplink: one refusal for a busy link, no lock for calls without a body

Transfer.Receive had a branch for small bodies that no caller reaches, the refusal for a busy link stood twice, and each call without a body took the link's lock to charge zero bytes. Behaviour stays as it is.

--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -36,10 +36,7 @@
 	}
 	backlog, sendTime := s.link.Backlog(), s.link.Duration(q.responseBytes)
 	if late := lateness(time.Now(), q, backlog, serviceTime, sendTime); late > 0 {
-		res := notRun(ReasonLinkBusy, "the link is busy for "+backlog.String()+", sending the response takes "+sendTime.String())
-		res.expectedWait = late
-		res.load = s.load()
-		return nil, res
+		return nil, s.refuseLinkBusy(late, backlog, "sending the response takes "+sendTime.String())
 	}
 	return s.link.Reserve(q.responseBytes, q.due), nil
 }
@@ -86,10 +83,7 @@
 	backlog, receiveTime := s.inbound.Backlog(), s.inbound.Duration(size)
 	needed := backlog + receiveTime + s.limiter.ServiceTime(q.rank)
 	if late := plannedLateness(time.Now(), q, backlog, needed); late > 0 {
-		res := notRun(ReasonLinkBusy, "the link is busy for "+backlog.String()+", receiving the body takes "+receiveTime.String())
-		res.expectedWait = late
-		res.load = s.load()
-		return res
+		return s.refuseLinkBusy(late, backlog, "receiving the body takes "+receiveTime.String())
 	}
 	if err := s.inbound.Reserve(size, q.due).Receive(ctx); err != nil {
 		return notRun(contextReason(ctx), "the link had no room for the body: "+err.Error())
@@ -97,6 +91,14 @@
 	return q.bufferBody(r)
 }
 
+// refuseLinkBusy refuses a call that a busy link would make late by the given time.
+func (s *Server) refuseLinkBusy(late, backlog time.Duration, detail string) *result {
+	res := notRun(ReasonLinkBusy, "the link is busy for "+backlog.String()+", "+detail)
+	res.expectedWait = late
+	res.load = s.load()
+	return res
+}
+
 // bufferUnscheduled reads a request body and counts it as received without being
 // scheduled, as are all bodies of callers: they are sent before the node can ask.
 func (s *Server) bufferUnscheduled(q *request, r *http.Request) *result {
--- a/internal/uplink/link.go
+++ b/internal/uplink/link.go
@@ -92,6 +92,9 @@
 // Charge counts bytes that use the link without being scheduled. Scheduled ones get
 // the rest of the bandwidth.
 func (l *Link) Charge(bytes int) {
+	if bytes == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.scheduler.Charge(time.Now(), bytes)
--- a/internal/uplink/transfer.go
+++ b/internal/uplink/transfer.go
@@ -52,13 +52,7 @@
 // Receive waits until the other side may send the expected bytes as a whole. The
 // caller then asks it to send them. Receive returns the error of ctx.
 func (t *Transfer) Receive(ctx context.Context) error {
-	bytes := t.remaining
-	if bytes <= SmallBodyBytes {
-		t.Close()
-		t.link.Charge(bytes)
-		return nil
-	}
-	err := t.link.acquire(ctx, &chunk{bytes: bytes, due: t.due, ready: make(chan struct{})})
+	err := t.link.acquire(ctx, &chunk{bytes: t.remaining, due: t.due, ready: make(chan struct{})})
 	t.Close()
 	return err
 }
