--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -25,6 +25,7 @@
 		return notRun(ReasonUnreachable, err.Error())
 	}
 	out := s.peerRequest(q, to)
+	s.disconnected(ctx, q, hopNode)
 	if !out.ExpectContinue {
 		s.link.Charge(len(q.body))
 	}
--- a/internal/mesh/metrics.go
+++ b/internal/mesh/metrics.go
@@ -19,6 +19,9 @@
 	// Resends counts the calls that were sent to the upstream beside the node a
 	// second time after a reused connection broke.
 	Resends prometheus.Counter
+	// DisconnectedBeforeSend counts the calls whose caller had disconnected when the
+	// node was about to send them, by the next hop: node or upstream.
+	DisconnectedBeforeSend *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them with r. It panics if one of
@@ -32,8 +35,10 @@
 		Retries:     newCounterVec("mesh_retries_total", "Further attempts.", "service", "reason"),
 		Resends: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "mesh_upstream_resends_total",
 			Help: "Calls sent to the upstream again after a reused connection broke."}),
+		DisconnectedBeforeSend: newCounterVec("mesh_disconnected_before_send_total",
+			"Calls whose caller had disconnected when they were about to be sent.", "hop"),
 	}
-	r.MustRegister(m.Calls, m.CallSeconds, m.Attempts, m.Admissions, m.Retries, m.Resends)
+	r.MustRegister(m.Calls, m.CallSeconds, m.Attempts, m.Admissions, m.Retries, m.Resends, m.DisconnectedBeforeSend)
 	return m
 }
 
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/httpconn"
 	"github.com/filbertpier/filbertpier/internal/uplink"
 )
@@ -39,6 +40,9 @@
 	// retrying is set on every attempt after the first.
 	retrying bool
 	rng      *rand.Rand
+	// caller is the connection on which the call arrived, from a caller or from
+	// another node.
+	caller *disconnect.Conn
 }
 
 // newRequest decodes what requests from callers and from nodes have in common.
@@ -46,6 +50,7 @@
 	return &request{
 		id: r.Header.Get(names.AttemptID), method: r.Method, target: r.URL.RequestURI(), host: r.Host,
 		arrived: time.Now(), length: r.ContentLength, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		caller: disconnect.FromContext(r.Context()),
 	}
 }
 
--- a/internal/mesh/upstream_exchange.go
+++ b/internal/mesh/upstream_exchange.go
@@ -21,6 +21,7 @@
 	deleteNodeHeaders(out.Header)
 	out.Header[names.TimeLeft] = []string{strconv.FormatInt(time.Until(q.deadline).Milliseconds(), 10)}
 	out.Header[names.ExpectedInstance] = []string{self.ID}
+	s.disconnected(ctx, q, hopUpstream)
 	resp, err := s.upstream.Do(ctx, s.cfg.UpstreamAddr, out)
 	var firstErr *httpconn.BrokenError
 	if !errors.As(err, &firstErr) || !s.mayResend(ctx, q, firstErr) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/feed"
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/listener"
@@ -105,7 +106,7 @@
 		return &listener.Error{Addr: addr, Err: err}
 	}
 	s := &http.Server{
-		Addr: addr, Handler: n.requests.track(h), IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mesh.MaxHeaderBytes,
+		Addr: addr, Handler: n.requests.track(h), ConnContext: disconnect.ConnContext, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mesh.MaxHeaderBytes,
 		ErrorLog: n.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	n.servers = append(n.servers, s)
