--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/filbertpier/filbertpier/config"
+	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/feed"
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/mesh"
@@ -229,6 +230,7 @@
 		handler(w, r)
 	}))
 	v.upstream.Listener = l
+	v.upstream.Config.ConnContext = disconnect.ConnContext
 	v.upstream.Start()
 	f.t.Cleanup(func() {
 		v.upstream.CloseClientConnections()
