mesh, admission: send no call whose caller has left

Callers saw nothing; upstreams ran calls that nobody waited for.

Cause: the node learns that a caller has left from the request's context. It ends once a goroutine of net/http has read the end of the stream. When a busy node reads a request late, that goroutine is started but has not run: with an idle connection to the next process the handler sends without a wait.

Change: the caller's connection is asked for a hang-up right before each send: to another node (first and later attempts), when the call is granted a slot, and before the second send on a broken connection. The slot of such a call is given back without a sample of the service time. A limiter that grants a slot and is cancelled at the same moment gives it back in the same way. Such calls count as cancelled and not as failures of the upstream.

A call that is read in time and cancelled while it runs ends as before.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -190,12 +190,12 @@
 		}
 		t := e.queue.popFirst()
 		if t == nil {
-			g.scheduler.release(now, table, e, 0)
+			g.scheduler.release(now, table, e, 0, false)
 			continue
 		}
 		g.waiting.Add(-1)
 		if err := g.checkOnDequeue(now, t); err != nil {
-			g.scheduler.release(now, table, e, 0)
+			g.scheduler.release(now, table, e, 0, false)
 			g.notify(t, err)
 			continue
 		}
@@ -241,11 +241,17 @@
 }
 
 // Release frees the slot of a granted ticket; repeated calls have no effect.
-func (g *Gate) Release(now time.Time, t *Ticket) {
+func (g *Gate) Release(now time.Time, t *Ticket) { g.free(now, t, true) }
+
+// Withdraw is like Release for a ticket whose call has not run: the time that it
+// held the slot says nothing about the service time.
+func (g *Gate) Withdraw(now time.Time, t *Ticket) { g.free(now, t, false) }
+
+func (g *Gate) free(now time.Time, t *Ticket, ran bool) {
 	if !t.released.CompareAndSwap(false, true) {
 		return
 	}
-	g.scheduler.release(now, g.table.Load(), t.entry, now.Sub(t.started))
+	g.scheduler.release(now, g.table.Load(), t.entry, now.Sub(t.started), ran)
 	g.dispatch(now)
 }
 
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -69,7 +69,7 @@
 func (l *Limiter) Drain() { l.gate.Drain() }
 
 // Acquire waits for a slot until ctx ends or the call can no longer end by its
-// deadline. On an *OverloadedError, *LateError, *DrainingError or
+// deadline. A call whose caller has left by then gets no slot. On an *OverloadedError, *LateError, *DrainingError or
 // *CanceledError the call must not run. Otherwise release must be called when
 // the call has ended; repeated calls have no effect.
 func (l *Limiter) Acquire(ctx context.Context, c *call.Call) (release func(), err error) {
@@ -80,6 +80,9 @@
 		err = l.wait(ctx, t)
 	}
 	l.outcomePool.Put(t.outcome)
+	if err == nil {
+		err = l.refuseIfCallerLeft(ctx, c, t)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -89,6 +92,18 @@
 	}, nil
 }
 
+// refuseIfCallerLeft gives the slot of a granted call back and returns a
+// *CanceledError if its caller has left. The context of a call that was read after its
+// caller had left ends only later.
+func (l *Limiter) refuseIfCallerLeft(ctx context.Context, c *call.Call, t *Ticket) error {
+	if ctx.Err() != context.Canceled && (c.Caller == nil || !c.Caller.Closed()) {
+		return nil
+	}
+	l.gate.Withdraw(l.now(), t)
+	l.startPaceTimer()
+	return &CanceledError{Rank: c.Rank.Name, Granted: true, Err: context.Cause(ctx)}
+}
+
 // startPaceTimer starts a timer for the first call that waits for the limit of
 // calls per second, unless there is none or a timer is pending.
 func (l *Limiter) startPaceTimer() {
@@ -131,7 +146,7 @@
 		refusal = &LateError{Rank: t.Rank.Name}
 	}
 	if !l.gate.Cancel(t) && <-t.outcome == nil {
-		l.gate.Release(l.now(), t)
+		l.gate.Withdraw(l.now(), t)
 	}
 	return refusal
 }
--- a/internal/admission/limiter_test.go
+++ b/internal/admission/limiter_test.go
@@ -147,3 +147,42 @@
 		h.finish()
 	}
 }
+
+// leftCaller is a caller that has closed its connection.
+type leftCaller struct{}
+
+func (leftCaller) Closed() bool { return true }
+
+// Guards against a slot for a call whose caller has left although its context has not
+// ended, against keeping that slot, and against taking such calls for fast runs.
+func TestCallWhoseCallerLeftGetsNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLimiterWithClock(Limits{Slots: 1, Ranks: []*config.Rank{urgent}}, time.Now)
+		release, err := l.Acquire(t.Context(), &call.Call{Rank: urgent})
+		if err != nil {
+			t.Fatal(err)
+		}
+		results := make(chan error)
+		for range 3 {
+			go func() {
+				_, err := l.Acquire(t.Context(), &call.Call{Rank: urgent, Caller: leftCaller{}})
+				results <- err
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		release()
+		for range 3 {
+			var canceled *CanceledError
+			if err := <-results; !errors.As(err, &canceled) || !canceled.Granted {
+				t.Errorf("got %v, want a *CanceledError of a granted call", err)
+			}
+		}
+		if r := l.Report(); r.Running != 0 || r.Waiting != 0 {
+			t.Errorf("load %+v, want no running or waiting call", r)
+		}
+		if got := l.ServiceTime(urgent); got != 100*time.Millisecond {
+			t.Errorf("service time %s, want that of the call that ran, 100ms", got)
+		}
+	})
+}
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -108,17 +108,18 @@
 	}
 }
 
-// release frees a slot of e. A positive runTime is a sample of the service time;
-// zero means that no call ran, so that the next one need not wait for the pace.
-func (s *scheduler) release(now time.Time, table *rankTable, e *rankEntry, runTime time.Duration) {
+// release frees a slot of e that was held for the given time. If a call ran, that
+// time is a sample of the service time; if none did, the next one need not wait for
+// the pace.
+func (s *scheduler) release(now time.Time, table *rankTable, e *rankEntry, held time.Duration, ran bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now, table)
 	s.running--
-	e.usage.removeRunning(s.sinceBase(now) - runTime)
-	if runTime > 0 {
-		e.usage.service.observe(now, runTime)
-		s.service.observe(now, runTime)
+	e.usage.removeRunning(s.sinceBase(now) - held)
+	if ran && held > 0 {
+		e.usage.service.observe(now, held)
+		s.service.observe(now, held)
 	} else {
 		s.pace.giveBack()
 	}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -35,6 +35,8 @@
 	Depth int
 	// WithinRetry is set if the call, or one that it is nested in, is a retry.
 	WithinRetry bool
+	// Caller is nil if the call runs even after its caller has left.
+	Caller Caller
 }
 
 // Parse matches a request to a route of doc and reads its headers, except for
--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -108,7 +108,7 @@
 // shouldRetry decides whether a call that was not answered gets another
 // attempt. reached is the number of attempts that may have reached an upstream.
 func (s *Server) shouldRetry(ctx context.Context, q *request, res *result, policy *config.RetryPolicy, reached int) bool {
-	if ctx.Err() != nil || q.bodyTail != nil || time.Until(q.deadline) < minAttemptTime {
+	if ctx.Err() != nil || q.caller.Closed() || q.bodyTail != nil || time.Until(q.deadline) < minAttemptTime {
 		return false
 	}
 	outcome := call.RanNo
@@ -183,7 +183,7 @@
 		return placement.ErrorResponse
 	case res.kind == ResultAnswered:
 		return placement.Completed
-	case ctx.Err() == context.Canceled:
+	case ctx.Err() == context.Canceled, res.reason == ReasonCallerLeft:
 		return placement.Canceled
 	case res.kind == ResultBroken:
 		return placement.ConnectionBroken
--- a/internal/mesh/disconnected.go
+++ b/internal/mesh/disconnected.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/admission"
 )
 
 // hop is the next process to which a node sends a call.
@@ -13,16 +16,29 @@
 	hopUpstream hop = "upstream"
 )
 
-// disconnected reports whether the caller has left before the call is sent to the
-// next hop, and counts and logs that. ctx ends some time after the caller has
-// disconnected, once a goroutine of the HTTP server has run.
-func (s *Server) disconnected(ctx context.Context, q *request, next hop) bool {
-	ended := ctx.Err() != nil
-	if !ended && !q.caller.Closed() {
-		return false
+// refuseIfCallerLeft returns the result of a call whose caller has left before it is
+// sent to another node, or nil. The context of a call that was read after its caller
+// had left ends only later.
+func (s *Server) refuseIfCallerLeft(ctx context.Context, q *request) *result {
+	if ctx.Err() != context.Canceled && !q.caller.Closed() {
+		return nil
+	}
+	s.observeDisconnected(q, hopNode)
+	return notRun(ReasonCallerLeft, "the caller left before the call was sent")
+}
+
+// observeCanceled counts a call whose caller had left when it was granted a slot.
+func (s *Server) observeCanceled(q *request, err error) {
+	var canceled *admission.CanceledError
+	if errors.As(err, &canceled) && canceled.Granted {
+		s.observeDisconnected(q, hopUpstream)
 	}
+}
+
+// observeDisconnected counts and logs a call whose caller had left when the call was
+// about to be sent to the next hop.
+func (s *Server) observeDisconnected(q *request, next hop) {
 	s.cfg.Metrics.DisconnectedBeforeSend.WithLabelValues(string(next)).Inc()
 	s.cfg.Log.Info("caller disconnected before send", "id", q.id, "hop", string(next),
-		"ms", time.Since(q.arrived).Milliseconds(), "context_ended", ended, "retrying", q.retrying)
-	return true
+		"ms", time.Since(q.arrived).Milliseconds(), "retrying", q.retrying)
 }
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -25,7 +25,9 @@
 		return notRun(ReasonUnreachable, err.Error())
 	}
 	out := s.peerRequest(q, to)
-	s.disconnected(ctx, q, hopNode)
+	if refused := s.refuseIfCallerLeft(ctx, q); refused != nil {
+		return refused
+	}
 	if !out.ExpectContinue {
 		s.link.Charge(len(q.body))
 	}
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -29,8 +29,11 @@
 		return res
 	}
 	s.updateLimits(self)
-	release, err := s.limiter.Acquire(ctx, &call.Call{Route: q.route, Rank: q.rank, Deadline: q.deadline, SoftDeadline: q.due})
+	release, err := s.limiter.Acquire(ctx, &call.Call{
+		Route: q.route, Rank: q.rank, Deadline: q.deadline, SoftDeadline: q.due, Caller: q.caller,
+	})
 	if err != nil {
+		s.observeCanceled(q, err)
 		return s.refusalResult(err, q)
 	}
 	defer release()
--- a/internal/mesh/upstream_exchange.go
+++ b/internal/mesh/upstream_exchange.go
@@ -21,7 +21,6 @@
 	deleteNodeHeaders(out.Header)
 	out.Header[names.TimeLeft] = []string{strconv.FormatInt(time.Until(q.deadline).Milliseconds(), 10)}
 	out.Header[names.ExpectedInstance] = []string{self.ID}
-	s.disconnected(ctx, q, hopUpstream)
 	resp, err := s.upstream.Do(ctx, s.cfg.UpstreamAddr, out)
 	var firstErr *httpconn.BrokenError
 	if !errors.As(err, &firstErr) || !s.mayResend(ctx, q, firstErr) {
@@ -43,7 +42,7 @@
 // one whose reused connection broke, if the limit that the upstream names and the
 // retry budget permit one more arrival, which it counts in both.
 func (s *Server) mayResend(ctx context.Context, q *request, err *httpconn.BrokenError) bool {
-	if !err.Reused || !q.idempotent() || q.bodyTail != nil || ctx.Err() != nil {
+	if !err.Reused || !q.idempotent() || q.bodyTail != nil || ctx.Err() != nil || q.caller.Closed() {
 		return false
 	}
 	return s.limiter.AllowRepeat() && s.budgets.TakeToken(time.Now(), s.cfg.Service, 0, q.rank.Order)
