mesh: end a call whose caller leaves while its body is unread

Callers of other calls saw refusals (503, link-busy) for bodies that never came; upstreams got calls that nobody waited for.

Cause: net/http reads from a connection in the background only after the end of the request body, so the context of a call does not end while the body is unread or buffered in part. A call with a body above 1 MiB waited for its slot and was sent; a body above 16 KiB that another node holds back kept its place in the queue of the VM's link.

Change: disconnect.Watch waits for a hang-up during these two waits and cancels the call's context. It stops before the response is written, since net/http then reads the remainder of the body.

--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -24,12 +24,14 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	watch := q.watchTail(cancel)
 	attempts := 0
 	res := s.untilCanceled(cancel, func() (res *result) {
 		res, attempts = s.serveReserved(ctx, q)
 		return res
 	})
 	defer res.close()
+	watch.Stop()
 	s.respondToCaller(r.Context(), w, q, res, attempts)
 }
 
--- a/internal/mesh/disconnected.go
+++ b/internal/mesh/disconnected.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/admission"
+	"github.com/filbertpier/filbertpier/internal/disconnect"
 )
 
 // hop is the next process to which a node sends a call.
@@ -42,3 +43,16 @@
 	s.cfg.Log.Info("caller disconnected before send", "id", q.id, "hop", string(next),
 		"ms", time.Since(q.arrived).Milliseconds(), "retrying", q.retrying)
 }
+
+// watchTail cancels a call if its caller leaves while the part of the body that is
+// not buffered is unread. It returns nil if the body is buffered whole: the HTTP
+// server then ends the context of the request. The watch must be stopped before the
+// response is written.
+func (q *request) watchTail(cancel context.CancelFunc) *disconnect.Watch {
+	if q.bodyTail == nil {
+		return nil
+	}
+	w := disconnect.NewWatch(q.caller, cancel)
+	q.bodyTail = w.Body(q.bodyTail)
+	return w
+}
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/placement"
 	"github.com/filbertpier/filbertpier/internal/uplink"
 )
@@ -71,8 +72,9 @@
 // receiveBody reads the request body. A large one is asked for only once the VM's
 // link has room for it, since bodies queued on the link delay every small call
 // behind them. The call is refused before its body is sent if it could not be
-// received and run in time, or if the target does not accept calls.
-func (s *Server) receiveBody(ctx context.Context, q *request, r *http.Request, targetID string) *result {
+// received and run in time, or if the target does not accept calls. A sender that
+// disconnects while it waits gives its place up; cancel ends ctx then.
+func (s *Server) receiveBody(ctx context.Context, cancel context.CancelFunc, q *request, r *http.Request, targetID string) *result {
 	size := int(r.ContentLength)
 	if size <= uplink.SmallBodyBytes {
 		return s.bufferUnscheduled(q, r)
@@ -85,7 +87,10 @@
 	if late := plannedLateness(time.Now(), q, backlog, needed); late > 0 {
 		return s.refuseLinkBusy(late, backlog, "receiving the body takes "+receiveTime.String())
 	}
-	if err := s.inbound.Reserve(size, q.due).Receive(ctx); err != nil {
+	watch := disconnect.NewWatch(q.caller, cancel)
+	err := s.inbound.Reserve(size, q.due).Receive(ctx)
+	watch.Stop()
+	if err != nil {
 		return notRun(contextReason(ctx), "the link had no room for the body: "+err.Error())
 	}
 	return q.bufferBody(r)
--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -24,23 +24,24 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	res := s.untilCanceled(cancel, func() *result { return s.runForPeer(ctx, q, r) })
+	res := s.untilCanceled(cancel, func() *result { return s.runForPeer(ctx, cancel, q, r) })
 	defer res.close()
 	s.logAdmission(q, res)
 	s.respondToPeer(r.Context(), w, res)
 }
 
 // runForPeer receives the body, reserves bandwidth for the response and runs the
-// call. It refuses the call before its body is received if the node stops or, if the
+// call; cancel ends ctx. It refuses the call before its body is received if the node stops or, if the
 // body is large, if the target is gone or the VM's link has no room.
-func (s *Server) runForPeer(ctx context.Context, q *request, r *http.Request) *result {
+func (s *Server) runForPeer(ctx context.Context, cancel context.CancelFunc, q *request, r *http.Request) *result {
 	targetID := r.Header.Get(call.HeaderTarget)
 	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromNode(q.deadline, q.idempotent()) {
 		return notRun(ReasonLeaving, "the node stops before the call's deadline")
 	}
-	if refused := s.receiveBody(ctx, q, r, targetID); refused != nil {
+	if refused := s.receiveBody(ctx, cancel, q, r, targetID); refused != nil {
 		return refused
 	}
+	defer q.watchTail(cancel).Stop()
 	transfer, refused := s.reserveLink(q, s.limiter.ServiceTime(q.rank))
 	if refused != nil {
 		return refused
