httpconn: reset the connection of an aborted exchange

Upstreams worked on calls whose callers had left, and could get the remainder of a request that was still on its way.

Cause: an aborted exchange closed its connection in order. The kernel then sends what is left in the socket's buffer first, so the other side gets a request that nobody waits for, and does not see the close at all as long as it does not read.

TestAbortedExchangeDropsWhatIsNotSent got the whole stream before.

Change: an exchange that fails or is not read to its end resets its connection.

--- a/internal/httpconn/body.go
+++ b/internal/httpconn/body.go
@@ -64,7 +64,7 @@
 func (b *body) abort(err error) {
 	b.end = err
 	b.x.stop()
-	b.x.conn.close()
+	b.x.conn.abort()
 }
 
 // requestSent reports whether the request was written in full.
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -57,3 +57,13 @@
 }
 
 func (c *conn) close() { _ = c.netConn.Close() }
+
+// abort resets the connection, which drops what is not sent yet. A server that does
+// not read would otherwise never learn that the exchange has ended, and one behind a
+// slow link would still receive the request.
+func (c *conn) abort() {
+	if tcp, ok := c.netConn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.close()
+}
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -65,7 +65,7 @@
 	resp, err := x.roundTrip()
 	if err != nil {
 		x.stop()
-		c.close()
+		c.abort()
 		return nil, x.brokenError(err)
 	}
 	return resp, nil
