dataplane: end an idempotent call whose caller has left

Change: the connection is watched while a part of the body is unread, and asked for a hang-up when a slot is granted and before a call goes to another node.

--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
+	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/internal/routing"
 	"github.com/filbertpier/filbertpier/snapshot"
@@ -97,3 +98,24 @@
 		return false
 	}
 }
+
+// watchCaller ends runCtx also when the caller leaves while a part of the body is
+// unread. The HTTP server then does not read from the connection. The returned
+// function must be called before the handler returns.
+func (x *exchange) watchCaller() (stop func()) {
+	if x.body.Complete {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(x.runCtx)
+	x.runCtx = ctx
+	watch := disconnect.NewWatch(disconnect.FromContext(ctx), cancel)
+	x.body.WrapRemaining(watch.Body)
+	return func() {
+		watch.Stop()
+		cancel()
+	}
+}
+
+// callerLeft reports whether the caller of a call that ends with its caller has left.
+// runCtx of a call that was read after its caller had left ends only later.
+func (x *exchange) callerLeft() bool { return x.call.Caller != nil && x.call.Caller.Closed() }
--- a/internal/dataplane/peer_round_trip.go
+++ b/internal/dataplane/peer_round_trip.go
@@ -18,6 +18,9 @@
 // has arrived. It fails if neither the header nor an informational response
 // arrives for peerSilenceTimeout. Errors are of type *call.Problem.
 func (s *Server) sendToPeer(ctx context.Context, x *exchange, to member.Member) (*http.Response, error) {
+	if x.callerLeft() {
+		return nil, call.NewProblem(call.ProblemCanceled, call.RanNo, "the caller left before the call was sent", nil)
+	}
 	peerCtx, cancel := context.WithCancelCause(ctx)
 	silenceTimer := time.AfterFunc(time.Hour, func() {
 		cancel(&SilentConnectionError{Addr: to.CallAddr, Timeout: peerSilenceTimeout})
--- a/internal/dataplane/relay/body.go
+++ b/internal/dataplane/relay/body.go
@@ -56,6 +56,10 @@
 	return b, nil
 }
 
+// WrapRemaining replaces the reader of the part that is not buffered. It must be
+// called before Attach.
+func (b *Body) WrapRemaining(wrap func(io.Reader) io.Reader) { b.remaining = wrap(b.remaining) }
+
 // Attach sets the body of an outgoing request, from its beginning. Before each
 // attempt but the first, Rewind must have returned true.
 func (b *Body) Attach(out *http.Request) {
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -9,6 +9,7 @@
 	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
+	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/once"
 	"github.com/filbertpier/filbertpier/internal/routing"
@@ -115,6 +116,7 @@
 	}
 	err := s.readCall(start, x)
 	if err == nil {
+		defer x.watchCaller()()
 		err = s.dispatch(x)
 	}
 	s.finish(start, w, x, err)
@@ -162,6 +164,9 @@
 	}
 	x.call = c
 	c.Version = required
+	if c.Route.Idempotent {
+		c.Caller = disconnect.FromContext(x.r.Context())
+	}
 	s.cfg.Invariants.Check(!x.snap.ID.Less(required), "served-version", "serving %s, required %s", x.snap.ID, required)
 	if x.body, err = relay.ReadBody(x.r); err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/filbertpier/filbertpier/internal/admin"
 	"github.com/filbertpier/filbertpier/internal/control"
 	"github.com/filbertpier/filbertpier/internal/dataplane"
+	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/listener"
 	"github.com/filbertpier/filbertpier/internal/member"
 	"github.com/filbertpier/filbertpier/internal/message"
@@ -130,7 +131,8 @@
 }
 
 func serve(l net.Listener, h http.Handler, onConnState func(net.Conn, http.ConnState)) *http.Server {
-	s := &http.Server{Handler: h, ConnState: onConnState, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s := &http.Server{Handler: h, ConnState: onConnState, ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: disconnect.ConnContext}
 	go func() { _ = s.Serve(l) }()
 	return s
 }
