httpconn: keep a connection whose request body was just written

Nodes opened more connections than needed: 12% of the connections that had carried a body above 16 KiB were closed after a complete exchange.

Cause: a response can be read to its end before the goroutine that wrote the request body has reported that it is done; the connection then counted as one whose request was not written in full.

Change: the connection returns to the pool once the body is written, and is closed if that takes more than 50 ms: the server answered without reading. TestConnectionIsClosedIfTheBodyWasNotRead guards that.

--- a/internal/httpconn/abort_test.go
+++ b/internal/httpconn/abort_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -47,3 +48,41 @@
 		t.Errorf("the server's read ended with %v, want a reset", err)
 	}
 }
+
+// Guards against keeping a connection on which the server answered without reading the
+// body: bytes of the body would be taken for the next request.
+func TestConnectionIsClosedIfTheBodyWasNotRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	answered := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			answered <- c
+		}
+	}()
+	p := NewPool(Options{IdleTimeout: time.Minute, MaxIdle: 4, DialTimeout: time.Second})
+	defer p.Close()
+	resp, err := p.Do(t.Context(), l.Addr().String(), &Request{
+		Method: "POST", Target: "/", Host: "h", Header: http.Header{}, BodyTail: strings.NewReader(strings.Repeat("x", 32<<20)), Length: 32 << 20,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	if err := resp.Discard(); err != nil || time.Since(began) > bodySettleTime {
+		t.Errorf("reading the response took %s, error %v, want no wait for the body", time.Since(began), err)
+	}
+	server := <-answered
+	defer func() { _ = server.Close() }()
+	// A server that reads the body in time may keep the connection.
+	time.Sleep(4 * bodySettleTime)
+	_ = server.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.Copy(io.Discard, server); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("the connection is still open after 5 s")
+	}
+}
--- a/internal/httpconn/body.go
+++ b/internal/httpconn/body.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// bodySettleTime is how long a connection is kept out of the pool after a response
+// until its request body is written.
+const bodySettleTime = 50 * time.Millisecond
+
 // body reads a response body and returns the connection to the pool at its end.
 type body struct {
 	x *exchange
@@ -52,12 +56,48 @@
 	b.end = io.EOF
 	x := b.x
 	active := x.stop()
-	if !active || b.idleTimeout <= 0 || !x.requestSent() || x.conn.br.Buffered() > 0 {
+	if !active || b.idleTimeout <= 0 || x.bodyHeld || x.conn.br.Buffered() > 0 {
 		x.conn.close()
 		return
 	}
-	_ = x.conn.netConn.SetDeadline(time.Time{})
-	x.pool.release(x.addr, x.conn, b.idleTimeout)
+	if x.bodyWritten == nil {
+		b.release()
+		return
+	}
+	select {
+	case err := <-x.bodyWritten:
+		b.releaseAfterBody(err)
+	default:
+		// The goroutine that wrote the body may not have run since.
+		go b.awaitBody()
+	}
+}
+
+// awaitBody returns the connection to the pool once the request body was written. It
+// closes the connection after bodySettleTime: the server answered without reading the
+// body.
+func (b *body) awaitBody() {
+	timer := time.NewTimer(bodySettleTime)
+	defer timer.Stop()
+	select {
+	case err := <-b.x.bodyWritten:
+		b.releaseAfterBody(err)
+	case <-timer.C:
+		b.x.conn.close()
+	}
+}
+
+func (b *body) releaseAfterBody(err error) {
+	if err != nil {
+		b.x.conn.close()
+		return
+	}
+	b.release()
+}
+
+func (b *body) release() {
+	_ = b.x.conn.netConn.SetDeadline(time.Time{})
+	b.x.pool.release(b.x.addr, b.x.conn, b.idleTimeout)
 }
 
 // abort closes the connection; further reads return err.
@@ -66,16 +106,3 @@
 	b.x.stop()
 	b.x.conn.abort()
 }
-
-// requestSent reports whether the request was written in full.
-func (x *exchange) requestSent() bool {
-	if x.bodyWritten == nil {
-		return true
-	}
-	select {
-	case err := <-x.bodyWritten:
-		return err == nil
-	default:
-		return false
-	}
-}
--- a/internal/httpconn/expect_continue_test.go
+++ b/internal/httpconn/expect_continue_test.go
@@ -25,6 +25,23 @@
 	return resp, resp.Discard()
 }
 
+// awaitIdleConn waits until a connection is in the pool: it returns there only after
+// the goroutine that wrote the request body has ended.
+func awaitIdleConn(t *testing.T, p *Pool, addr string) {
+	t.Helper()
+	idle := func() bool {
+		s := p.shard(addr)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.idle[addr]) > 0
+	}
+	for deadline := time.Now().Add(5 * time.Second); !idle(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the connection did not return to the pool within 5 s")
+		}
+	}
+}
+
 // Guards against sending the body of a request that the server refuses by its head,
 // against losing the body of one that it accepts, and against using a connection
 // again on which the body was not sent.
@@ -51,6 +68,9 @@
 		if err != nil || resp.Status != want {
 			t.Fatalf("request %d to %s: %+v, error %v, want status %d", i, target, resp, err, want)
 		}
+		if want == http.StatusOK {
+			awaitIdleConn(t, p, addr)
+		}
 	}
 	if n := received.Load(); n != int64(3*len(body)) {
 		t.Errorf("the server received %d bytes, want three whole bodies", n)
