--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -69,9 +69,10 @@
 func (l *Limiter) Drain() { l.gate.Drain() }
 
 // Acquire waits for a slot until ctx ends or the call can no longer end by its
-// deadline. A call whose caller has left by then gets no slot. On an *OverloadedError, *LateError, *DrainingError or
-// *CanceledError the call must not run. Otherwise release must be called when
-// the call has ended; repeated calls have no effect.
+// deadline. A call whose caller has left by then gets no slot. On an
+// *OverloadedError, *LateError, *DrainingError or *CanceledError the call must not
+// run. Otherwise release must be called when the call has ended; repeated calls have
+// no effect.
 func (l *Limiter) Acquire(ctx context.Context, c *call.Call) (release func(), err error) {
 	t := &Ticket{Rank: c.Rank, Deadline: c.Deadline, SoftDeadline: c.SoftDeadline, outcome: l.outcomePool.Get().(chan error)}
 	granted, err := l.gate.Submit(l.now(), t)
