mesh: answer calls of other nodes that are refused before admission

Callers got 502 without a reason around planned stops: a node that stops, or whose target is gone, closed the connection of another node instead of refusing its call. The caller's node cannot know that the call has not run.

Cause: such a refusal carries no load, and the log line of the admission reads it. The handler panicked and net/http closed the connection. It needs a logger that writes; the tests used one that drops lines before they are formatted.

With a logger that formats its lines TestStoppingNodeTakesNoCallItCannotFinish fails: 502 instead of 503.

Change: every response to another node reports the load. The tests of package sidecar format and discard log lines.

--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -100,7 +100,6 @@
 func (s *Server) refuseLinkBusy(late, backlog time.Duration, detail string) *result {
 	res := notRun(ReasonLinkBusy, "the link is busy for "+backlog.String()+", "+detail)
 	res.expectedWait = late
-	res.load = s.load()
 	return res
 }
 
--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -26,6 +26,10 @@
 	defer cancel()
 	res := s.untilCanceled(cancel, func() *result { return s.runForPeer(ctx, cancel, q, r) })
 	defer res.close()
+	if res.load == nil {
+		// A call that was refused before admission.
+		res.load = s.load()
+	}
 	s.logAdmission(q, res)
 	s.respondToPeer(r.Context(), w, res)
 }
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -262,7 +262,7 @@
 	t.Helper()
 	node, err := sidecar.Start(v.settings, sidecar.Adapter{
 		HeaderNames: headerNames, Source: v.source, Decoder: v.decoder, ReadyPath: "/ready", MetricsPath: "/metrics",
-	}, hclog.NewNullLogger())
+	}, discardLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -271,6 +271,12 @@
 	return v
 }
 
+// discardLogger returns a logger that formats every line and discards it. A null
+// logger would leave out what nodes do to log a decision.
+func discardLogger() hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Level: hclog.Debug, Output: io.Discard, JSONFormat: true})
+}
+
 // response is what the caller of a call received.
 type response struct {
 	status     int
