--- a/tools/faultsoak/attempt.go
+++ b/tools/faultsoak/attempt.go
@@ -1,5 +1,7 @@
 package main
 
+import "time"
+
 // attempt records what the caller and the upstreams observed of one request.
 type attempt struct {
 	sent, nonIdempotent bool
@@ -8,4 +10,7 @@
 	// refusalStatus is the status by which the caller was told that the request
 	// was not executed, or zero.
 	refusalStatus int
+	// leftAt is when the caller closed the connection without waiting for the
+	// response; zero if it waited.
+	leftAt time.Time
 }
--- a/tools/faultsoak/caller.go
+++ b/tools/faultsoak/caller.go
@@ -20,6 +20,9 @@
 	// maxRetryWait caps the wait that a Retry-After header asks for. It is also
 	// the wait after a request that got no response.
 	maxRetryWait = 300 * time.Millisecond
+	// One request out of leaveEvery is left by its caller within maxLeaveTime.
+	leaveEvery   = 10
+	maxLeaveTime = 60 * time.Millisecond
 )
 
 // caller sends requests to the node on its VM, one at a time. Half of the
@@ -48,7 +51,12 @@
 		if nonIdempotent {
 			path, method = "/once/x", http.MethodPost
 		}
-		wait := c.send(fmt.Sprintf("%s/%d", c.name, n), method, path, nonIdempotent)
+		id, wait := fmt.Sprintf("%s/%d", c.name, n), time.Duration(0)
+		if rand.IntN(leaveEvery) == 0 {
+			c.sendAndLeave(id, method, path, nonIdempotent)
+		} else {
+			wait = c.send(id, method, path, nonIdempotent)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait + rand.N(30*time.Millisecond)):
@@ -76,6 +84,24 @@
 	return c.checkResponse(id, boot, start, ctx, resp)
 }
 
+// sendAndLeave sends one request and closes the connection after a random time.
+func (c *caller) sendAndLeave(id, method, path string, nonIdempotent bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), rand.N(maxLeaveTime))
+	defer cancel()
+	req, err := newRequest(ctx, c.vm, id, method, path, nonIdempotent)
+	if err != nil {
+		return
+	}
+	resp, err := c.client.Do(req)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	if err != nil {
+		c.vm.testbed.ledger.update(id, func(a *attempt) { a.leftAt = time.Now() })
+	}
+}
+
 func (c *caller) checkResponse(id string, boot int, start time.Time, ctx context.Context, resp *http.Response) time.Duration {
 	violations := c.vm.testbed.violations
 	body, err := io.ReadAll(resp.Body)
--- a/tools/faultsoak/soak_test.go
+++ b/tools/faultsoak/soak_test.go
@@ -71,3 +71,20 @@
 	r.URL.Host = strings.TrimPrefix(string(target), "http://")
 	return http.DefaultTransport.RoundTrip(r)
 }
+
+// Guards against a check that misses calls of callers that have left, and against one
+// that reports calls whose callers wait or have just left.
+func TestCallsOfCallersThatLeftAreReported(t *testing.T) {
+	for _, c := range []struct {
+		leftAt time.Time
+		want   int
+	}{{time.Time{}, 0}, {time.Now(), 0}, {time.Now().Add(-time.Second), 1}} {
+		tb := &testbed{ledger: newLedger(), violations: &violationLog{start: time.Now()}}
+		tb.ledger.update("c/1", func(a *attempt) { a.sent, a.leftAt = true, c.leftAt })
+		u := &upstream{testbed: tb}
+		u.checkLeft("c/1")
+		if got := tb.violations.all(); len(got) != c.want {
+			t.Errorf("left at %v: got %v, want %d violations", c.leftAt, got, c.want)
+		}
+	}
+}
--- a/tools/faultsoak/upstream.go
+++ b/tools/faultsoak/upstream.go
@@ -21,8 +21,11 @@
 	// announced the drain. It keeps serving for drainServeTime.
 	maxDrainDelay  = 2500 * time.Millisecond
 	drainServeTime = 3500 * time.Millisecond
-	maxWorkTime    = 40 * time.Millisecond
-	slowWorkTime   = 400 * time.Millisecond
+	// maxLeaveDelay is how long after its caller has left a call may reach an
+	// upstream.
+	maxLeaveDelay = 500 * time.Millisecond
+	maxWorkTime   = 40 * time.Millisecond
+	slowWorkTime  = 400 * time.Millisecond
 	// Padding makes responses larger than one packet. One response out of
 	// largeResponseEvery also gets largePadding, which makes it too large for nodes
 	// to send without scheduling (see uplink.SmallResponseBytes).
@@ -95,6 +98,7 @@
 		return
 	}
 	u.checkDrain(id)
+	u.checkLeft(id)
 	if u.running.Add(1) > slots || sampleFault(&u.faults.shed) {
 		u.running.Add(-1)
 		h.Set(headerNames.NotRun, "1")
@@ -144,6 +148,17 @@
 	u.testbed.violations.add("DRAIN", "attempt %s reached %s %s after it announced the drain", id, u.entry.ID, time.Since(since))
 }
 
+// checkLeft reports a call that reaches the upstream long after its caller has left,
+// unless a fault may have delayed it or the news of the caller.
+func (u *upstream) checkLeft(id string) {
+	var leftAt time.Time
+	u.testbed.ledger.update(id, func(a *attempt) { leftAt = a.leftAt })
+	if leftAt.IsZero() || time.Since(leftAt) < maxLeaveDelay || !u.testbed.faultFreeSince(leftAt.Add(-faultFreePeriod)) {
+		return
+	}
+	u.testbed.violations.add("GONE", "attempt %s reached %s %s after its caller had left", id, u.entry.ID, time.Since(leftAt))
+}
+
 func pause(d time.Duration) {
 	t := time.NewTimer(d)
 	<-t.C
