--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -116,7 +116,8 @@
 	}
 	err := s.readCall(start, x)
 	if err == nil {
-		defer x.watchCaller()()
+		stopWatch := x.watchCaller()
+		defer stopWatch()
 		err = s.dispatch(x)
 	}
 	s.finish(start, w, x, err)
--- a/internal/mesh/disconnected.go
+++ b/internal/mesh/disconnected.go
@@ -9,14 +9,6 @@
 	"github.com/filbertpier/filbertpier/internal/disconnect"
 )
 
-// hop is the next process to which a node sends a call.
-type hop string
-
-const (
-	hopNode     hop = "node"
-	hopUpstream hop = "upstream"
-)
-
 // refuseIfCallerLeft returns the result of a call whose caller has left before it is
 // sent to another node, or nil. The context of a call that was read after its caller
 // had left ends only later.
