--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -35,8 +35,8 @@
 }
 
 // runForPeer receives the body, reserves bandwidth for the response and runs the
-// call; cancel ends ctx. It refuses the call before its body is received if the node stops or, if the
-// body is large, if the target is gone or the VM's link has no room.
+// call; cancel ends ctx. It refuses the call before its body is received if the node
+// stops or, if the body is large, if the target is gone or the VM's link has no room.
 func (s *Server) runForPeer(ctx context.Context, cancel context.CancelFunc, q *request, r *http.Request) *result {
 	targetID := r.Header.Get(call.HeaderTarget)
 	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromNode(q.deadline, q.idempotent()) {
