--- a/internal/disconnect/conn.go
+++ b/internal/disconnect/conn.go
@@ -14,9 +14,6 @@
 	raw     syscall.RawConn
 }
 
-// connKey is the context key of a *Conn.
-type connKey struct{}
-
 // ConnContext returns a context that holds the connection, for
 // http.Server.ConnContext. A connection without a file descriptor is left out: its
 // clients count as connected.
