sidecar: test a stream whose caller leaves in its middle

The tests of leaving callers held the waits of a call apart but not a response that is being streamed.

--- a/internal/sidecar/caller_left_test.go
+++ b/internal/sidecar/caller_left_test.go
@@ -51,8 +51,7 @@
 	}
 }
 
-// receive reads the whole response to one request. Responses in these tests have no
-// body.
+// receive reads the head of a response.
 func (c *caller) receive() string {
 	var head strings.Builder
 	one := make([]byte, 1)
@@ -67,39 +66,24 @@
 
 func (c *caller) leave() { _ = c.conn.Close() }
 
-// visits records which paths reached an upstream and for how long each was worked on.
-type visits struct {
-	mu     sync.Mutex
-	begins map[string]time.Time
-	ends   map[string]time.Time
+// pathSet is a set of request paths. It is safe for concurrent use.
+type pathSet struct {
+	mu    sync.Mutex
+	paths map[string]bool
 }
 
-func newVisits() *visits {
-	return &visits{begins: map[string]time.Time{}, ends: map[string]time.Time{}}
-}
-
-func (v *visits) begin(path string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.begins[path] = time.Now()
-}
-
-func (v *visits) end(path string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.ends[path] = time.Now()
-}
+func newPathSet() *pathSet { return &pathSet{paths: map[string]bool{}} }
 
-func (v *visits) began(path string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return !v.begins[path].IsZero()
+func (s *pathSet) add(path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paths[path] = true
 }
 
-func (v *visits) ended(path string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return !v.ends[path].IsZero()
+func (s *pathSet) has(path string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paths[path]
 }
 
 // forEachLeavingCaller runs a test for callers of the node beside the upstream and of
@@ -137,9 +121,9 @@
 // slot, whatever part of its body the node has read.
 func TestCallIsNotSentIfItsCallerLeavesWhileItWaits(t *testing.T) {
 	forEachLeavingCaller(t, func(t *testing.T, remote bool, size int, kept bool) {
-		seen, release := newVisits(), make(chan struct{})
+		began, release := newPathSet(), make(chan struct{})
 		entry := startFleet(t, remote, func(w http.ResponseWriter, r *http.Request) {
-			seen.begin(r.URL.Path)
+			began.add(r.URL.Path)
 			if strings.HasPrefix(r.URL.Path, "/safe/hold") {
 				<-release
 			}
@@ -153,7 +137,7 @@
 		for i := range 4 {
 			path := "/safe/hold" + strconv.Itoa(i)
 			entry.newCaller(t).send(path, 0)
-			await(t, "all slots to be in use", func() bool { return seen.began(path) })
+			await(t, "all slots to be in use", func() bool { return began.has(path) })
 		}
 		go leaves.send("/safe/left", size)
 		go stays.send("/safe/stayed", size)
@@ -165,7 +149,7 @@
 			t.Errorf("the caller that stayed got %q, want status 200", got)
 		}
 		time.Sleep(100 * time.Millisecond)
-		if seen.began("/safe/left") {
+		if began.has("/safe/left") {
 			t.Errorf("a request reached the upstream %s after its caller had left", leaveBound)
 		}
 	})
@@ -177,9 +161,9 @@
 	for _, reads := range []bool{true, false} {
 		t.Run(fmt.Sprintf("reads=%t", reads), func(t *testing.T) {
 			forEachLeavingCaller(t, func(t *testing.T, remote bool, size int, kept bool) {
-				seen := newVisits()
+				began, ended := newPathSet(), newPathSet()
 				entry := startFleet(t, remote, func(w http.ResponseWriter, r *http.Request) {
-					seen.begin(r.URL.Path)
+					began.add(r.URL.Path)
 					if r.URL.Path != "/safe/left" {
 						return
 					}
@@ -192,7 +176,7 @@
 					}
 					select {
 					case <-work.Done():
-						seen.end(r.URL.Path)
+						ended.add(r.URL.Path)
 					case <-time.After(2 * time.Second):
 					}
 				})
@@ -202,11 +186,11 @@
 					leaves.receive()
 				}
 				go leaves.send("/safe/left", size)
-				await(t, "the call to run", func() bool { return seen.began("/safe/left") })
+				await(t, "the call to run", func() bool { return began.has("/safe/left") })
 				time.Sleep(100 * time.Millisecond)
 				leaves.leave()
 				time.Sleep(leaveBound)
-				if !seen.ended("/safe/left") {
+				if !ended.has("/safe/left") {
 					t.Errorf("the upstream still worked %s after the caller had left", leaveBound)
 				}
 			})
@@ -220,9 +204,9 @@
 	const size = 60_000
 	// Receiving a body takes 0.33 s at the scheduled 90% of the link's rate.
 	const rate, bodyTime = 200_000, 330 * time.Millisecond
-	seen := newVisits()
+	began := newPathSet()
 	f := newFleet(t)
-	a := f.add("a", "z1", func(_ http.ResponseWriter, r *http.Request) { seen.begin(r.URL.Path) })
+	a := f.add("a", "z1", func(_ http.ResponseWriter, r *http.Request) { began.add(r.URL.Path) })
 	a.settings.LinkBytesPerSecond = rate
 	a.start()
 	b := f.add("b", "z1", respondAfter(0)).start()
@@ -231,18 +215,50 @@
 	}
 	await(t, "the node to know the upstream", func() bool { return b.call("GET", "/safe/x").status == http.StatusOK })
 	b.newCaller(t).send("/safe/first", size)
-	await(t, "the first body to be received", func() bool { return seen.began("/safe/first") })
+	await(t, "the first body to be received", func() bool { return began.has("/safe/first") })
 	leaves, stays := b.newCaller(t), b.newCaller(t)
 	leaves.send("/safe/left", size)
 	time.Sleep(50 * time.Millisecond)
 	leaves.leave()
 	time.Sleep(50 * time.Millisecond)
-	began := time.Now()
+	sentAt := time.Now()
 	stays.send("/safe/stayed", size)
 	if got := stays.receive(); !strings.HasPrefix(got, "HTTP/1.1 200") {
 		t.Fatalf("the caller that stayed got %q, want status 200", got)
 	}
-	if took := time.Since(began); took > bodyTime {
+	if took := time.Since(sentAt); took > bodyTime {
 		t.Errorf("the call took %s, want at most %s: the link is free %s after the first body", took, bodyTime, bodyTime)
 	}
 }
+
+// Guards against a stream that an upstream goes on with after its caller has left in
+// the middle of it. The response is above the size that nodes buffer.
+func TestStreamEndsIfItsCallerLeavesInItsMiddle(t *testing.T) {
+	for _, remote := range []bool{false, true} {
+		t.Run(fmt.Sprintf("remote=%t", remote), func(t *testing.T) {
+			ended := newPathSet()
+			entry := startFleet(t, remote, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/safe/left" {
+					return
+				}
+				_, _ = io.WriteString(w, strings.Repeat("x", 1<<20+20_000))
+				_ = http.NewResponseController(w).Flush()
+				select {
+				case <-r.Context().Done():
+					ended.add(r.URL.Path)
+				case <-time.After(2 * time.Second):
+				}
+			})
+			leaves := entry.newCaller(t)
+			leaves.send("/safe/left", 0)
+			if got := leaves.receive(); !strings.HasPrefix(got, "HTTP/1.1 200") {
+				t.Fatalf("the response begins with %q, want status 200", got)
+			}
+			leaves.leave()
+			time.Sleep(leaveBound)
+			if !ended.has("/safe/left") {
+				t.Errorf("the upstream still worked %s after the caller had left", leaveBound)
+			}
+		})
+	}
+}
