--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -139,14 +139,13 @@
 	return time.Duration(r) * time.Microsecond, time.Duration(t) * time.Microsecond
 }
 
-// encodeResult writes a result to the headers of a response to another node.
+// encodeResult writes a result, which has a load, to the headers of a response to
+// another node.
 func (s *Server) encodeResult(h http.Header, res *result) {
 	h[headerResult] = []string{res.kind.String()}
-	if res.load != nil {
-		h[call.HeaderLoad] = []string{fmt.Sprintf("%d %d %d %d %d %g %d", res.load.Running, res.load.Waiting, res.load.Slots,
-			res.load.LinkBacklog.Milliseconds(), res.load.LinkBytesPerSecond, res.load.CallsPerSecond,
-			res.load.ReceiveBacklog.Milliseconds())}
-	}
+	h[call.HeaderLoad] = []string{fmt.Sprintf("%d %d %d %d %d %g %d", res.load.Running, res.load.Waiting, res.load.Slots,
+		res.load.LinkBacklog.Milliseconds(), res.load.LinkBytesPerSecond, res.load.CallsPerSecond,
+		res.load.ReceiveBacklog.Milliseconds())}
 	h[headerTimes] = []string{strconv.FormatInt(res.runTime.Microseconds(), 10) + " " + strconv.FormatInt(res.nodeTime.Microseconds(), 10)}
 	h[headerRevision] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
 	if res.kind == ResultAnswered {
