--- a/review/_rig/server.go
+++ b/review/_rig/server.go
@@ -156,9 +156,3 @@
 
 // notExecuted is the header of a response to a request that the server did not run.
 func notExecuted() map[string]string { return map[string]string{"X-Filbertpier-Not-Executed": "1"} }
-
-// deadline returns the time limit that the request names.
-func deadline(r *http.Request) time.Duration {
-	ms, _ := strconv.Atoi(r.Header.Get("X-Filbertpier-Request-Deadline"))
-	return time.Duration(ms) * time.Millisecond
-}
