--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,7 +6,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/fpsidecar ] && [ -x review/.bin/_rig ] || { echo "build first" >&2; exit 2; }
-timeout -k 2 110 review/.bin/_rig timeout "$here/record.txt"
+timeout -k 2 110 review/.bin/_rig crash "$here/record.txt"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
