mesh: keep long bodies whole after an early answer

Cause: net/http discards the unread request body before it writes a response, while the goroutine that sends the body to the upstream reads from it too. Change: fpnode's remedy moves to relay.AllowReadDuringResponse; both handlers of internal/mesh call it for bodies that are not buffered whole.

--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -173,9 +173,7 @@
 		return err
 	}
 	if !x.body.Complete {
-		// The HTTP server would otherwise discard the unread part of the body
-		// when the response begins, while that part is still being sent upstream.
-		_ = http.NewResponseController(x.w).EnableFullDuplex()
+		relay.AllowReadDuringResponse(x.w)
 	}
 	return nil
 }
--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -24,7 +24,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	watch := q.watchTail(cancel)
+	watch := q.streamTail(w, cancel)
 	attempts := 0
 	res := s.untilCanceled(cancel, func() (res *result) {
 		res, attempts = s.serveReserved(ctx, q)
--- a/internal/mesh/disconnected.go
+++ b/internal/mesh/disconnected.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/admission"
+	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
 	"github.com/filbertpier/filbertpier/internal/disconnect"
 )
 
@@ -36,15 +38,17 @@
 		"ms", time.Since(q.arrived).Milliseconds(), "retrying", q.retrying)
 }
 
-// watchTail cancels a call if its caller leaves while the part of the body that is
-// not buffered is unread. It returns nil if the body is buffered whole: the HTTP
-// server then ends the context of the request. The watch must be stopped before the
-// response is written.
-func (q *request) watchTail(cancel context.CancelFunc) *disconnect.Watch {
+// streamTail prepares the part of the body that is not buffered, which is read while
+// the response is written. Until the returned watch is stopped, it cancels the call if
+// its caller leaves while that part is unread. It returns nil if the body is buffered
+// whole: the HTTP server then ends the context of the request. The watch must be
+// stopped before the response is written.
+func (q *request) streamTail(w http.ResponseWriter, cancel context.CancelFunc) *disconnect.Watch {
 	if q.bodyTail == nil {
 		return nil
 	}
-	w := disconnect.NewWatch(q.caller, cancel)
-	q.bodyTail = w.Body(q.bodyTail)
-	return w
+	relay.AllowReadDuringResponse(w)
+	watch := disconnect.NewWatch(q.caller, cancel)
+	q.bodyTail = watch.Body(q.bodyTail)
+	return watch
 }
--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -24,7 +24,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	res := s.untilCanceled(cancel, func() *result { return s.runForPeer(ctx, cancel, q, r) })
+	res := s.untilCanceled(cancel, func() *result { return s.runForPeer(ctx, cancel, q, w, r) })
 	defer res.close()
 	if res.load == nil {
 		// A call that was refused before admission.
@@ -37,7 +37,7 @@
 // runForPeer receives the body, reserves bandwidth for the response and runs the
 // call; cancel ends ctx. It refuses the call before its body is received if the node
 // stops or, if the body is large, if the target is gone or the VM's link has no room.
-func (s *Server) runForPeer(ctx context.Context, cancel context.CancelFunc, q *request, r *http.Request) *result {
+func (s *Server) runForPeer(ctx context.Context, cancel context.CancelFunc, q *request, w http.ResponseWriter, r *http.Request) *result {
 	targetID := r.Header.Get(call.HeaderTarget)
 	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromNode(q.deadline, q.idempotent()) {
 		return notRun(ReasonLeaving, "the node stops before the call's deadline")
@@ -45,7 +45,7 @@
 	if refused := s.receiveBody(ctx, cancel, q, r, targetID); refused != nil {
 		return refused
 	}
-	defer q.watchTail(cancel).Stop()
+	defer q.streamTail(w, cancel).Stop()
 	transfer, refused := s.reserveLink(q, s.limiter.ServiceTime(q.rank))
 	if refused != nil {
 		return refused
