httpconn: close the connection if a body is shorter than announced

Cause: the copy of a body with a length succeeded at its early end, so that the connection returned to the pool while the server waited for the missing bytes. Change: the announced length is copied or an error.

--- a/internal/httpconn/abort_test.go
+++ b/internal/httpconn/abort_test.go
@@ -86,3 +86,42 @@
 		t.Error("the connection is still open after 5 s")
 	}
 }
+
+// Guards against returning a connection to the pool although the body was shorter than
+// announced: the server takes the next request for the rest of it.
+func TestConnectionIsClosedIfTheBodyEndsEarly(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	p := NewPool(Options{IdleTimeout: 5 * time.Second, MaxIdle: 4, DialTimeout: time.Second})
+	defer p.Close()
+	received := make(chan []byte, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		all, _ := io.ReadAll(c)
+		received <- all
+	}()
+	short := &Request{Method: "POST", Target: "/short", Host: "h", Header: http.Header{}, BodyTail: strings.NewReader("abc"), Length: 10}
+	resp, err := p.Do(t.Context(), l.Addr().String(), short)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := resp.Discard(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	// Nobody accepts a second connection.
+	_, _ = p.Do(ctx, l.Addr().String(), &Request{Method: "GET", Target: "/next", Host: "h", Header: http.Header{}})
+	if all := <-received; strings.Contains(string(all), "/next") || !strings.HasSuffix(string(all), "abc") {
+		t.Errorf("the server received %q, want the short request only", all)
+	}
+}
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -103,9 +103,11 @@
 	go func() { x.bodyWritten <- x.writeBody() }()
 }
 
+// writeBody writes the request body. It returns io.EOF if the body is shorter than its
+// announced length.
 func (x *exchange) writeBody() error {
 	if x.req.Length >= 0 {
-		_, err := io.Copy(x.conn.netConn, x.req.bodyReader())
+		_, err := io.CopyN(x.conn.netConn, x.req.bodyReader(), x.req.Length)
 		return err
 	}
 	buf := make([]byte, copyBufferBytes)
