replica: trust a parent by the age of its confirmation

Cause: a node's word that it is connected rested on its last read however old it was, and each cut ancestor added the time until its own read failed. Ruled out: the long watch of the fallback alone (1 s at each level still adds up to 3.2 s at depth 2). Change: pages carry the number and age of the confirmation on which they rest, parents respond to each new one, and each node judges by the age.

--- a/internal/replica/connectivity.go
+++ b/internal/replica/connectivity.go
@@ -14,29 +14,42 @@
 	// disconnectedAt and reconnectedAt are when connected was last cleared and
 	// set. disconnectedAt starts as the time of creation.
 	disconnectedAt, reconnectedAt time.Time
-	// confirmedAt is when a read last succeeded.
+	// confirmedAt is when the platform sent the last successful read, which may have
+	// arrived through other nodes.
 	confirmedAt time.Time
+	// confirmations counts the advances of confirmedAt.
+	confirmations uint64
+	// confirmed is closed after the next advance of confirmedAt.
+	confirmed chan struct{}
 	// lost is closed while connected is not set.
 	lost chan struct{}
 }
 
 func newConnectivity(now time.Time) *connectivity {
-	c := &connectivity{disconnectedAt: now, lost: make(chan struct{})}
+	c := &connectivity{disconnectedAt: now, lost: make(chan struct{}), confirmed: make(chan struct{})}
 	close(c.lost)
 	return c
 }
 
-// confirm records a successful read. It returns true and the length of the
-// outage if this read ended one.
-func (c *connectivity) confirm(now time.Time) (outage time.Duration, recovered bool) {
+// confirm records a successful read that the platform sent at sentAt. It returns
+// true and the length of the outage if this read ended one. announce wakes those who
+// wait for a confirmation.
+func (c *connectivity) confirm(now, sentAt time.Time) (outage time.Duration, recovered bool, announce func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.confirmedAt = now
+	announce = func() {}
+	if sentAt.After(c.confirmedAt) {
+		c.confirmedAt = sentAt
+		c.confirmations++
+		previous := c.confirmed
+		c.confirmed = make(chan struct{})
+		announce = func() { close(previous) }
+	}
 	if c.connected {
-		return 0, false
+		return 0, false, announce
 	}
 	c.connected, c.reconnectedAt, c.lost = true, now, make(chan struct{})
-	return now.Sub(c.disconnectedAt), true
+	return now.Sub(c.disconnectedAt), true, announce
 }
 
 // lose records a failed read of the platform.
@@ -70,13 +83,30 @@
 	return !c.connected || now.Sub(c.reconnectedAt) < unstableAfterOutage
 }
 
-// confirmedAge returns the time since the last successful read; zero before the
-// first one.
-func (c *connectivity) confirmedAge(now time.Time) time.Duration {
+// confirmedSince returns a channel that is closed once the number of confirmations
+// differs from the given one.
+func (c *connectivity) confirmedSince(confirmations uint64) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if confirmations != c.confirmations {
+		return closedChannel
+	}
+	return c.confirmed
+}
+
+// lastConfirmation returns the number of confirmations and the time since the last
+// one; zero before the first one.
+func (c *connectivity) lastConfirmation(now time.Time) (confirmations uint64, age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.confirmedAt.IsZero() {
-		return 0
+		return 0, 0
 	}
-	return now.Sub(c.confirmedAt)
+	return c.confirmations, now.Sub(c.confirmedAt)
 }
+
+var closedChannel = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
--- a/internal/replica/fetcher.go
+++ b/internal/replica/fetcher.go
@@ -12,9 +12,9 @@
 	// Fetch returns the changes after a revision at once, over a connection
 	// that is closed afterwards.
 	Fetch(ctx context.Context, addr string, afterRevision uint64) (Page, error)
-	// Follow is a long poll: the node responds once it has changes after the
-	// revision, or after wait. The connection is kept for the next call.
-	Follow(ctx context.Context, addr string, afterRevision uint64, wait time.Duration) (Page, error)
+	// Follow is a long poll: the node responds once it has changes or a new
+	// confirmation, or after the wait. The connection is kept for the next call.
+	Follow(ctx context.Context, addr string, r FollowRequest) (Page, error)
 	// Candidates returns the addresses of nodes to try, in order of preference.
 	Candidates(now time.Time) []string
 }
--- a/internal/replica/page.go
+++ b/internal/replica/page.go
@@ -1,5 +1,7 @@
 package replica
 
+import "time"
+
 // Page is a response of the platform or of a peer: a complete list of items, or
 // the changes after a revision.
 type Page struct {
@@ -11,6 +13,11 @@
 	Gaps []Gap `json:"gaps,omitempty"`
 	// Revision is the revision up to which the response is complete.
 	Revision uint64 `json:"at"`
-	// Fresh is set by a peer that is connected; see Reader.Connected.
+	// Fresh is set by a peer whose copy is confirmed; see Reader.fresh.
 	Fresh bool `json:"fresh,omitempty"`
+	// Confirmation counts the reads that have confirmed the peer's copy, and
+	// ConfirmedAge is the time since the platform sent the last of them. Both are
+	// zero in responses of the platform and of nodes of earlier builds.
+	Confirmation uint64        `json:"-"`
+	ConfirmedAge time.Duration `json:"-"`
 }
--- a/internal/replica/parent_cut_test.go
+++ b/internal/replica/parent_cut_test.go
@@ -14,7 +14,7 @@
 // follow a first change for some seconds.
 func startPair(t *testing.T) (platform *testPlatform, root, child *testNode) {
 	platform = newTestPlatform()
-	fleet := &testFleet{nodes: map[string]*testNode{}}
+	fleet := newTestFleet()
 	platform.put("config", false)
 	root = fleet.add(t, platform, "root", "")
 	child = fleet.add(t, platform, "child", "root")
--- a/internal/replica/peers/client.go
+++ b/internal/replica/peers/client.go
@@ -83,12 +83,12 @@
 
 // Follow implements replica.Fetcher. Only one goroutine may call it. It returns
 // a *FetchError or a *CodecError.
-func (c *Client) Follow(ctx context.Context, addr string, afterRevision uint64, wait time.Duration) (replica.Page, error) {
+func (c *Client) Follow(ctx context.Context, addr string, r replica.FollowRequest) (replica.Page, error) {
 	conn, err := c.parent.get(ctx, addr)
 	if err != nil {
 		return replica.Page{}, err
 	}
-	page, err := c.call(ctx, conn, addr, fetchParams{AfterRevision: afterRevision, WaitMs: wait.Milliseconds()})
+	page, err := c.call(ctx, conn, addr, fetchParams{AfterRevision: r.AfterRevision, WaitMs: r.Wait.Milliseconds(), Confirmation: r.Confirmation})
 	if err != nil {
 		c.parent.drop()
 	}
--- a/internal/replica/peers/decompressor.go
+++ b/internal/replica/peers/decompressor.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/klauspost/compress/zstd"
 
@@ -19,7 +20,8 @@
 // decompressPage converts a wirePage and decompresses its values. It returns a
 // *CodecError.
 func (d *decompressor) decompressPage(p *wirePage) (replica.Page, error) {
-	out := replica.Page{Complete: p.Complete, Gaps: p.Gaps, Revision: p.Revision, Fresh: p.Fresh}
+	out := replica.Page{Complete: p.Complete, Gaps: p.Gaps, Revision: p.Revision, Fresh: p.Fresh,
+		Confirmation: p.Confirmation, ConfirmedAge: time.Duration(p.AgeMs) * time.Millisecond}
 	for _, i := range p.Items {
 		value, err := d.decompressValue(&i)
 		if err != nil {
--- a/internal/replica/peers/fetch_params.go
+++ b/internal/replica/peers/fetch_params.go
@@ -10,4 +10,6 @@
 	// WaitMs is how long to wait for a change, in milliseconds; 0 returns at
 	// once.
 	WaitMs int64 `json:"waitMs,omitempty"`
+	// Confirmation is that of the last response to the node.
+	Confirmation uint64 `json:"confirmation,omitempty"`
 }
--- a/internal/replica/peers/server.go
+++ b/internal/replica/peers/server.go
@@ -92,9 +92,13 @@
 	if err := json.Unmarshal(*r.Params, &p); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	wait := min(time.Duration(p.WaitMs)*time.Millisecond, maxWait)
-	page := s.publisher.Page(ctx, p.AfterRevision, wait)
-	out := wirePage{Complete: page.Complete, Gaps: page.Gaps, Revision: page.Revision, Fresh: page.Fresh}
+	page := s.publisher.Page(ctx, replica.FollowRequest{
+		AfterRevision: p.AfterRevision, Confirmation: p.Confirmation, Wait: min(time.Duration(p.WaitMs)*time.Millisecond, maxWait),
+	})
+	out := wirePage{
+		Complete: page.Complete, Gaps: page.Gaps, Revision: page.Revision, Fresh: page.Fresh,
+		Confirmation: page.Confirmation, AgeMs: page.ConfirmedAge.Milliseconds(),
+	}
 	for _, i := range page.Items {
 		out.Items = append(out.Items, s.compressor.compress(i))
 	}
--- a/internal/replica/peers/wire_page.go
+++ b/internal/replica/peers/wire_page.go
@@ -9,4 +9,8 @@
 	Gaps     []replica.Gap `json:"gaps,omitempty"`
 	Revision uint64        `json:"at"`
 	Fresh    bool          `json:"fresh,omitempty"`
+	// Confirmation and AgeMs are Confirmation and, in milliseconds, ConfirmedAge of
+	// the page.
+	Confirmation uint64 `json:"confirmation,omitempty"`
+	AgeMs        int64  `json:"ageMs,omitempty"`
 }
--- a/internal/replica/publisher.go
+++ b/internal/replica/publisher.go
@@ -14,24 +14,27 @@
 // NewPublisher returns a publisher of a reader's table.
 func NewPublisher(r *Reader) *Publisher { return &Publisher{reader: r} }
 
-// Page returns the changes after a revision. If there are none and the reader is
-// connected, it waits for changes, for the loss of the connection or for ctx to
-// end, at most for wait. The page says whether the reader is connected.
-func (p *Publisher) Page(ctx context.Context, afterRevision uint64, wait time.Duration) Page {
-	p.waitForChange(ctx, afterRevision, wait)
-	page := p.reader.table.ChangesSince(afterRevision)
-	page.Fresh = p.reader.Connected()
+// Page returns the changes that a request asks for. If there are none and the reader's
+// copy is confirmed, it waits for changes, for a new confirmation, for the loss of the
+// connection or for ctx to end, at most for the wait of the request.
+func (p *Publisher) Page(ctx context.Context, r FollowRequest) Page {
+	p.waitForNews(ctx, r)
+	now := time.Now()
+	page := p.reader.table.ChangesSince(r.AfterRevision)
+	page.Fresh = p.reader.fresh(now)
+	page.Confirmation, page.ConfirmedAge = p.reader.connectivity.lastConfirmation(now)
 	return page
 }
 
-func (p *Publisher) waitForChange(ctx context.Context, afterRevision uint64, wait time.Duration) {
-	if wait <= 0 {
+func (p *Publisher) waitForNews(ctx context.Context, r FollowRequest) {
+	if r.Wait <= 0 {
 		return
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(r.Wait)
 	defer timer.Stop()
 	select {
-	case <-p.reader.table.Changed(afterRevision):
+	case <-p.reader.table.Changed(r.AfterRevision):
+	case <-p.reader.connectivity.confirmedSince(r.Confirmation):
 	case <-p.reader.connectivity.disconnected():
 	case <-timer.C:
 	case <-ctx.Done():
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -23,9 +23,15 @@
 	// peerHint passes the address of a peer with a newer revision to
 	// runPeerReads.
 	peerHint chan string
+	// depth is the node's depth in the tree at its last read.
+	depth atomic.Int64
 	// directReadUntil is when the node may read from its parent again. Only
-	// the goroutine of runReads uses it.
+	// the goroutine of runReads uses it and the following fields.
 	directReadUntil time.Time
+	// parent is the node that was last followed, and parentConfirmation the
+	// confirmation of its last response.
+	parent             string
+	parentConfirmation uint64
 }
 
 // NewReader returns a reader for a table. Run starts it.
@@ -34,13 +40,27 @@
 }
 
 // Connected reports whether a read has succeeded since the last failed read of
-// the platform. A read of the parent node counts as a success if the parent is
-// connected itself.
+// the platform. A read of the parent node counts as a success if the parent's copy
+// is confirmed.
 func (r *Reader) Connected() bool { return r.connectivity.isConnected() }
 
-// ConfirmedAge returns the time since the last successful read, which confirmed
-// that the copy is up to date; zero before the first one.
-func (r *Reader) ConfirmedAge(now time.Time) time.Duration { return r.connectivity.confirmedAge(now) }
+// ConfirmedAge returns the time since the platform sent the last successful read,
+// which confirmed that the copy is up to date; zero before the first one.
+func (r *Reader) ConfirmedAge(now time.Time) time.Duration {
+	_, age := r.connectivity.lastConfirmation(now)
+	return age
+}
+
+// fresh reports whether the copy counts as up to date: the last read was successful
+// and confirmed it recently. A read that hangs is not known to have failed.
+func (r *Reader) fresh(now time.Time) bool { return r.Connected() && r.freshLeft(now) > 0 }
+
+// freshLeft returns how long the copy still counts as up to date if no read confirms
+// it; it is not positive once the copy does not. Nodes further down the tree allow
+// more time, so that their ancestors turn to the platform first.
+func (r *Reader) freshLeft(now time.Time) time.Duration {
+	return freshTime + time.Duration(r.depth.Load())*depthMargin - r.ConfirmedAge(now)
+}
 
 // Unstable reports whether the node is disconnected or reconnected only
 // recently. The platform may then lack entries that are about to be restored.
@@ -98,6 +118,7 @@
 // platform without a backoff.
 func (r *Reader) readNext(ctx context.Context) error {
 	position := r.cfg.TreePosition()
+	r.depth.Store(int64(position.Depth))
 	if position.Parent == "" || r.table.Revision() == 0 || time.Now().Before(r.directReadUntil) {
 		return r.readPlatform(ctx, position)
 	}
@@ -109,72 +130,108 @@
 	return nil
 }
 
-// follow waits for changes at the parent and merges them. It returns a
-// *StalePeerError if the parent is disconnected from the platform.
+// follow waits for changes and for a confirmation at the parent and merges them. It
+// returns a *StalePeerError if the parent cannot confirm its copy.
 func (r *Reader) follow(runCtx context.Context, addr string) error {
-	ctx, cancel := context.WithTimeout(runCtx, followWait+followGrace)
+	if addr != r.parent {
+		r.parent, r.parentConfirmation = addr, 0
+	}
+	wait, timeout := followTimes(r.freshLeft(time.Now()))
+	ctx, cancel := context.WithTimeout(runCtx, timeout)
 	defer cancel()
-	page, err := r.cfg.Peers.Follow(ctx, addr, r.table.Revision(), followWait)
+	page, err := r.cfg.Peers.Follow(ctx, addr, FollowRequest{
+		AfterRevision: r.table.Revision(), Confirmation: r.parentConfirmation, Wait: wait,
+	})
 	if err != nil {
 		return err
 	}
-	r.table.Merge(page)
-	if !page.Fresh {
+	confirmed := page.Fresh && (page.Confirmation == 0 || page.Confirmation != r.parentConfirmation)
+	r.parentConfirmation = page.Confirmation
+	if confirmed {
+		r.accept(time.Now().Add(-page.ConfirmedAge), func() { r.table.Merge(page) })
+		r.listed.Store(true)
+	} else {
+		r.table.Merge(page)
+	}
+	if !page.Fresh || r.freshLeft(time.Now()) <= 0 {
 		return &StalePeerError{Addr: addr, Revision: page.Revision}
 	}
-	r.listed.Store(true)
-	r.markConnected()
 	return nil
 }
 
+// followTimes returns the wait and the timeout of a poll of the parent by a node
+// whose copy counts as up to date for freshLeft.
+func followTimes(freshLeft time.Duration) (wait, timeout time.Duration) {
+	if freshLeft <= 0 {
+		return 0, followGrace
+	}
+	timeout = min(followWait+followGrace, max(freshLeft, followGrace))
+	return min(followWait, freshLeft), timeout
+}
+
 // readPlatform lists all items, or watches for changes if the table holds a
 // complete list.
 func (r *Reader) readPlatform(runCtx context.Context, position TreePosition) error {
 	if !r.listed.Load() {
-		timeout := listTimeout
-		if r.Connected() {
-			timeout = relistTimeout
-		}
-		ctx, cancel := context.WithTimeout(runCtx, timeout)
-		defer cancel()
-		page, err := r.cfg.Source.List(ctx)
-		if err != nil {
-			return err
-		}
-		r.listed.Store(true)
-		r.markConnected()
-		r.table.Replace(page)
-		r.cfg.Observer.Listed(page.Revision, len(page.Items))
-		return nil
-	}
-	wait := watchWait
-	if position.Parent != "" {
-		wait = fallbackWatchWait
+		return r.listPlatform(runCtx)
 	}
+	wait := r.platformWait(position)
 	ctx, cancel := context.WithTimeout(runCtx, wait+watchGrace)
 	defer cancel()
 	page, err := r.cfg.Source.Watch(ctx, r.table.Revision(), wait)
 	if err != nil {
 		return err
 	}
-	r.markConnected()
-	if r.table.Merge(page) > 0 {
+	applied := 0
+	r.accept(time.Now(), func() { applied = r.table.Merge(page) })
+	if applied > 0 {
 		sleep(runCtx, batchDelay)
 	}
 	return nil
 }
 
-// markDisconnected records and reports a failed read of the platform.
-func (r *Reader) markDisconnected(err error) {
-	r.connectivity.lose(time.Now())
-	r.cfg.Observer.ReadFailed(err)
+// platformWait returns the long-poll time of a watch. A node on which others rely
+// confirms its copy once in watchWait, and at once if that time has passed.
+func (r *Reader) platformWait(position TreePosition) time.Duration {
+	if position.Parent != "" && !position.HasChildren {
+		return fallbackWatchWait
+	}
+	return min(max(watchWait-r.ConfirmedAge(time.Now()), 0), watchWait)
 }
 
-// markConnected records a successful read and reports the end of an outage.
-func (r *Reader) markConnected() {
-	if outage, recovered := r.connectivity.confirm(time.Now()); recovered {
+func (r *Reader) listPlatform(runCtx context.Context) error {
+	timeout := listTimeout
+	if r.Connected() {
+		timeout = relistTimeout
+	}
+	ctx, cancel := context.WithTimeout(runCtx, timeout)
+	defer cancel()
+	page, err := r.cfg.Source.List(ctx)
+	if err != nil {
+		return err
+	}
+	r.listed.Store(true)
+	r.accept(time.Now(), func() { r.table.Replace(page) })
+	r.cfg.Observer.Listed(page.Revision, len(page.Items))
+	return nil
+}
+
+// accept records a successful read that the platform sent at sentAt, and reports the
+// end of an outage. merge applies it before the nodes that wait for a confirmation are
+// woken, so that they get both in one response.
+func (r *Reader) accept(sentAt time.Time, merge func()) {
+	outage, recovered, announce := r.connectivity.confirm(time.Now(), sentAt)
+	if recovered {
 		r.cfg.Observer.Recovered(outage)
 	}
+	merge()
+	announce()
+}
+
+// markDisconnected records and reports a failed read of the platform.
+func (r *Reader) markDisconnected(err error) {
+	r.connectivity.lose(time.Now())
+	r.cfg.Observer.ReadFailed(err)
 }
 
 // runPeerReads fetches from peers while the node is disconnected, and at once
--- a/internal/replica/removal_test.go
+++ b/internal/replica/removal_test.go
@@ -9,7 +9,7 @@
 // Guards against losing a removal because a node that listed later knows nothing of it.
 func TestRemovalIsNotSkippedThroughNodeThatListed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		platform, fleet := newTestPlatform(), &testFleet{nodes: map[string]*testNode{}}
+		platform, fleet := newTestPlatform(), newTestFleet()
 		platform.put("servers/leaving", false)
 		old := fleet.add(t, platform, "old", "")
 		time.Sleep(time.Second)
--- a/internal/replica/test_node_test.go
+++ b/internal/replica/test_node_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 )
 
 // testNode is a node that reads from the platform or from its parent.
@@ -11,6 +12,7 @@
 	table     *Table
 	reader    *Reader
 	publisher *Publisher
+	position  atomic.Pointer[TreePosition]
 	// mu guards deleted, the keys whose deletion the table has applied.
 	mu      sync.Mutex
 	deleted []string
--- a/internal/replica/test_source_test.go
+++ b/internal/replica/test_source_test.go
@@ -13,9 +13,12 @@
 	cut      atomic.Bool
 	// compacted makes the pending or next watch report that the history is gone.
 	compacted atomic.Bool
+	// reads counts the reads that were begun.
+	reads atomic.Int64
 }
 
 func (s *testSource) List(ctx context.Context) (Page, error) {
+	s.reads.Add(1)
 	if s.cut.Load() {
 		<-ctx.Done()
 		return Page{}, ctx.Err()
@@ -25,6 +28,7 @@
 }
 
 func (s *testSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+	s.reads.Add(1)
 	timeout := time.After(wait)
 	for {
 		if s.compacted.Swap(false) {
--- a/internal/replica/tree_position.go
+++ b/internal/replica/tree_position.go
@@ -21,6 +21,11 @@
 	// Parent is the address of the node to read changes from; empty if the node
 	// reads the platform.
 	Parent string
+	// Depth is the number of nodes between this one and the platform; zero without
+	// a parent.
+	Depth int
+	// HasChildren is set if other nodes read from this one.
+	HasChildren bool
 }
 
 // NewTreePosition returns the position of self among the nodes of its region.
@@ -40,7 +45,26 @@
 	nodes = slices.Compact(nodes)
 	position := slices.Index(nodes, self)
 	if position < readersPerRegion {
-		return TreePosition{}
+		return TreePosition{HasChildren: hasChildren(position, len(nodes))}
 	}
-	return TreePosition{Parent: nodes[(position-readersPerRegion)/fanout]}
+	return TreePosition{
+		Parent: nodes[parentIndex(position)], Depth: depth(position), HasChildren: hasChildren(position, len(nodes)),
+	}
+}
+
+// parentIndex returns the index of the parent of the node at an index that is not
+// below readersPerRegion.
+func parentIndex(index int) int { return (index - readersPerRegion) / fanout }
+
+// hasChildren reports whether a tree of n nodes has children at an index.
+func hasChildren(index, n int) bool { return readersPerRegion+index*fanout < n }
+
+// depth returns the depth of the node at an index.
+func depth(index int) int {
+	levels := 0
+	for index >= readersPerRegion {
+		index = parentIndex(index)
+		levels++
+	}
+	return levels
 }
