quarantine: share the admission of suspects between both data planes

Change: quarantine.Guard and Admission hold what depends on no transport, and fpnode uses them. A success of a suspect leaves a trace, so that a sole crash reported later does not quarantine a request that this node has seen succeed; that changes fpnode too. Quarantined entries can be listed and passed on with the time that is left.

--- a/internal/dataplane/crash_guard.go
+++ b/internal/dataplane/crash_guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -16,11 +17,8 @@
 type crashGuard struct {
 	cfg     Config
 	control ControlPlane
-	table   *quarantine.Table
-	runs    *quarantine.InFlightRequests
+	guard   *quarantine.Guard
 	reports *quarantine.PendingReports
-	// suspectSlot is a semaphore: one suspect may run at a time.
-	suspectSlot chan struct{}
 	// transport is for suspects; it does not reuse connections.
 	transport *http.Transport
 }
@@ -28,8 +26,7 @@
 func newCrashGuard(cfg Config, control ControlPlane) *crashGuard {
 	g := &crashGuard{
 		cfg: cfg, control: control,
-		table: quarantine.NewTable(), runs: quarantine.NewInFlightRequests(), reports: quarantine.NewPendingReports(),
-		suspectSlot: make(chan struct{}, 1), transport: newTransport(cfg.LocalIP, 0),
+		guard: quarantine.NewGuard(), reports: quarantine.NewPendingReports(), transport: newTransport(cfg.LocalIP, 0),
 	}
 	g.transport.DisableKeepAlives = true
 	return g
@@ -39,19 +36,22 @@
 // suspect runs. The caller must release the call. Errors are of type
 // *call.Problem.
 func (g *crashGuard) admit(ctx context.Context, x *exchange) (*guardedCall, error) {
-	guarded := &guardedCall{guard: g, route: x.call.Route.Name, fingerprint: quarantine.Fingerprint(x.quarantineFingerprint())}
-	switch g.table.State(time.Now(), guarded.fingerprint) {
-	case quarantine.StateQuarantined:
-		return nil, guarded.reject()
-	case quarantine.StateSuspect:
-		select {
-		case g.suspectSlot <- struct{}{}:
-			guarded.suspect = true
-		case <-ctx.Done():
-			return nil, call.NewProblem(call.ProblemOverloaded, call.RanNo, "another request suspected of crashing upstreams is running", ctx.Err())
-		}
+	route := x.call.Route.Name
+	admission, err := g.guard.Admit(ctx, x.quarantineFingerprint())
+	if err != nil {
+		return nil, g.problem(route, err)
+	}
+	return &guardedCall{guard: g, route: route, Admission: admission}, nil
+}
+
+// problem converts an error of the quarantine and logs a quarantined call.
+func (g *crashGuard) problem(route string, err error) error {
+	var running *quarantine.SuspectRunningError
+	if errors.As(err, &running) {
+		return call.NewProblem(call.ProblemOverloaded, call.RanNo, running.Error(), running.Err)
 	}
-	return guarded, nil
+	g.cfg.Decisions.Record("call-quarantined", "route", route)
+	return call.NewProblem(call.ProblemQuarantined, call.RanNo, "", nil)
 }
 
 // reportCrash sends a crash report to the nodes of the service and waits up to
@@ -101,7 +101,7 @@
 func (g *crashGuard) recordSuspicions(now time.Time, vm string, suspicions []quarantine.Suspect) {
 	quarantined := 0
 	for _, s := range suspicions {
-		if g.table.RecordSuspect(now, s) == quarantine.StateQuarantined {
+		if g.guard.Table.RecordSuspect(now, s) == quarantine.StateQuarantined {
 			quarantined++
 		}
 	}
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -7,12 +7,11 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
 	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/once"
+	"github.com/filbertpier/filbertpier/internal/quarantine"
 	"github.com/filbertpier/filbertpier/internal/routing"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
@@ -59,18 +58,9 @@
 // quarantineFingerprint identifies the request and its resent copies. It covers
 // the method, path and query as well as the route, since requests of one route
 // without a body differ only in these.
-func (x *exchange) quarantineFingerprint() [16]byte {
-	d := xxhash.New()
-	for _, part := range []string{x.call.Route.Name, x.call.Key, x.r.Method, x.r.URL.EscapedPath(), x.r.URL.RawQuery} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	var out [16]byte
-	binary.BigEndian.PutUint64(out[:8], d.Sum64())
-	d.ResetWithSeed(uint64(x.body.Length))
-	_, _ = d.Write(x.body.Buffered)
-	binary.BigEndian.PutUint64(out[8:], d.Sum64())
-	return out
+func (x *exchange) quarantineFingerprint() quarantine.Fingerprint {
+	head := []string{x.call.Route.Name, x.call.Key, x.r.Method, x.r.URL.EscapedPath(), x.r.URL.RawQuery}
+	return quarantine.NewFingerprint(head, x.body.Length, x.body.Buffered)
 }
 
 // otherCopyMayHaveRun reports whether a copy of the call may have run although
--- a/internal/dataplane/forward.go
+++ b/internal/dataplane/forward.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	defer guarded.release()
+	defer guarded.Release()
 	release, err := s.limiter.Acquire(ctx, x.call)
 	if x.r.Header.Get(call.HeaderTarget) != "" {
 		setLoadHeader(x.w.Header(), s.loadReport())
@@ -46,7 +46,7 @@
 	if err := guarded.begin(); err != nil {
 		return err
 	}
-	return guarded.finish(s.sendToUpstream(ctx, x, guarded.suspect))
+	return guarded.finish(s.sendToUpstream(ctx, x, guarded.Suspect))
 }
 
 // sendToUpstream sends an admitted call to the upstream. A suspect gets a new
--- a/internal/dataplane/guarded_call.go
+++ b/internal/dataplane/guarded_call.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"time"
 
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/quarantine"
@@ -11,34 +10,16 @@
 // guardedCall is a call that a crashGuard has admitted. It is not safe for
 // concurrent use.
 type guardedCall struct {
-	guard       *crashGuard
-	route       string
-	fingerprint quarantine.Fingerprint
-	// suspect is set if the call holds the guard's suspect slot.
-	suspect bool
-	run     *quarantine.InFlightRequest
+	*quarantine.Admission
+	guard *crashGuard
+	route string
 }
 
-// begin checks the quarantine again, since the call may have waited for a slot,
-// and marks the call as running. If the request has become a suspect meanwhile and
-// another suspect is running, begin rejects the call without waiting. Errors are
-// of type *call.Problem.
+// begin marks the call as running. Errors are of type *call.Problem.
 func (c *guardedCall) begin() error {
-	switch c.guard.table.State(time.Now(), c.fingerprint) {
-	case quarantine.StateQuarantined:
-		return c.reject()
-	case quarantine.StateSuspect:
-		if c.suspect {
-			break
-		}
-		select {
-		case c.guard.suspectSlot <- struct{}{}:
-			c.suspect = true
-		default:
-			return call.NewProblem(call.ProblemOverloaded, call.RanNo, "another request suspected of crashing upstreams is running", nil)
-		}
+	if err := c.Begin(); err != nil {
+		return c.guard.problem(c.route, err)
 	}
-	c.run = c.guard.runs.Begin(c.fingerprint, c.suspect)
 	return nil
 }
 
@@ -48,11 +29,11 @@
 	var p *call.Problem
 	switch {
 	case outcome == nil:
-		if c.guard.table.RecordSuccess(c.fingerprint) {
+		if c.RecordSuccess() {
 			c.guard.cfg.Decisions.Record("suspect-cleared", "route", c.route)
 		}
 	case errors.As(outcome, &p) && p.Type == call.ProblemUpstreamFailed && p.Ran == call.RanUnknown:
-		crash, first := c.guard.runs.RecordBrokenConnection(c.run)
+		crash, first := c.RecordCrash()
 		if first {
 			c.guard.reportCrash(crash)
 		}
@@ -60,19 +41,3 @@
 	}
 	return outcome
 }
-
-// release removes the call from the running calls and frees the suspect slot.
-func (c *guardedCall) release() {
-	if c.run != nil {
-		c.guard.runs.End(c.run)
-	}
-	if c.suspect {
-		<-c.guard.suspectSlot
-	}
-}
-
-// reject logs that the request is quarantined and returns the problem.
-func (c *guardedCall) reject() error {
-	c.guard.cfg.Decisions.Record("call-quarantined", "route", c.route)
-	return call.NewProblem(call.ProblemQuarantined, call.RanNo, "", nil)
-}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -25,17 +25,42 @@
 func (t *Table) State(now time.Time, f Fingerprint) State { return t.shard(f).state(now, f) }
 
 // RecordSuspect records one entry of a crash report and returns the resulting
-// state of its fingerprint.
+// state of its fingerprint. A sole suspect that has succeeded here since it was last
+// suspect is not quarantined: it does not crash every upstream.
 func (t *Table) RecordSuspect(now time.Time, s Suspect) State {
-	if s.Sole {
-		return t.shard(s.Fingerprint).record(now, s.Fingerprint, StateQuarantined)
+	state, succeeded := t.shard(s.Fingerprint).record(now, s.Fingerprint, StateSuspect, EntryLifetime)
+	if s.Sole && !succeeded {
+		return t.Quarantine(now, Quarantined{Fingerprint: s.Fingerprint, Remaining: EntryLifetime})
 	}
-	return t.shard(s.Fingerprint).record(now, s.Fingerprint, StateSuspect)
+	return state
+}
+
+// MarkSuspect records a suspect and reports whether it had succeeded here since it was
+// last suspect.
+func (t *Table) MarkSuspect(now time.Time, f Fingerprint) (succeeded bool) {
+	_, succeeded = t.shard(f).record(now, f, StateSuspect, EntryLifetime)
+	return succeeded
+}
+
+// Quarantine records a quarantined fingerprint for the remaining time, at most
+// EntryLifetime, and returns the resulting state.
+func (t *Table) Quarantine(now time.Time, q Quarantined) State {
+	state, _ := t.shard(q.Fingerprint).record(now, q.Fingerprint, StateQuarantined, min(q.Remaining, EntryLifetime))
+	return state
+}
+
+// Quarantined returns the quarantined fingerprints.
+func (t *Table) Quarantined(now time.Time) []Quarantined {
+	var list []Quarantined
+	for i := range t.shards {
+		list = t.shards[i].quarantined(now, list)
+	}
+	return list
 }
 
 // RecordSuccess clears a suspect that ran without a crash. It returns false and
 // does nothing if f is not a suspect.
-func (t *Table) RecordSuccess(f Fingerprint) bool { return t.shard(f).clear(f) }
+func (t *Table) RecordSuccess(now time.Time, f Fingerprint) bool { return t.shard(f).clear(now, f) }
 
 func (t *Table) shard(f Fingerprint) *shard {
 	return &t.shards[xxhash.Sum64(f[:])%shardCount]
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -33,7 +33,7 @@
 			t.Errorf("fingerprint %v is %v, want %v", f[0], got, want)
 		}
 	}
-	if !table.RecordSuccess(healthy) || table.RecordSuccess(crashing) || table.State(now, healthy) != StateClear {
+	if !table.RecordSuccess(now, healthy) || table.RecordSuccess(now, crashing) || table.State(now, healthy) != StateClear {
 		t.Error("a success did not clear a suspect, or cleared a quarantined fingerprint")
 	}
 	if got := table.State(now.Add(EntryLifetime), crashing); got != StateClear {
