mesh: stop requests that crash upstreams

Ruled out: copies with another identity. Taken into account: broken connections without a crash, which a refused connection right after tells apart. Change: mesh.crashGuard uses quarantine.Guard, quarantine/reports tells the nodes of the service over their control ports and passes quarantined entries on to nodes that start later. A copy gets 503 with the end of the quarantine as Retry-After. A request that has succeeded at another node since its first crash is not quarantined.

--- a/internal/dataplane/crash_guard.go
+++ b/internal/dataplane/crash_guard.go
@@ -55,7 +55,7 @@
 }
 
 // reportCrash sends a crash report to the nodes of the service and waits up to
-// crashAckTimeout for their acknowledgements, so that a copy of the request does
+// quarantine.ReportTimeout for their acknowledgements, so that a copy of the request does
 // not reach a node before the report does.
 func (g *crashGuard) reportCrash(c *quarantine.Crash) {
 	defer close(c.Reported)
@@ -77,7 +77,7 @@
 			g.control.Send(m, msg)
 		}
 	}
-	timer := time.NewTimer(crashAckTimeout)
+	timer := time.NewTimer(quarantine.ReportTimeout)
 	defer timer.Stop()
 	select {
 	case <-acknowledged:
--- a/internal/dataplane/limits.go
+++ b/internal/dataplane/limits.go
@@ -34,7 +34,4 @@
 	// fails. Five intervals allow for delays between regions and a busy machine; a
 	// longer timeout detects dead connections later.
 	peerSilenceTimeout = 5 * progressInterval
-	// crashAckTimeout bounds the wait for acknowledgements of a crash report; it
-	// covers a round trip between regions.
-	crashAckTimeout = 200 * time.Millisecond
 )
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -90,12 +90,16 @@
 }
 
 // Warm opens a connection and adds it to the pool for a later request. The
-// error is a *DialError.
+// error is a *DialError, also if the server has closed the connection at once.
 func (p *Pool) Warm(ctx context.Context, addr string) error {
 	c, err := p.dial(ctx, addr)
 	if err != nil {
 		return err
 	}
+	if !c.alive() {
+		c.close()
+		return &DialError{Addr: addr, Err: syscall.ECONNRESET}
+	}
 	p.release(addr, c, p.options.IdleTimeout)
 	return nil
 }
--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -110,7 +110,8 @@
 // shouldRetry decides whether a call that was not answered gets another
 // attempt. reached is the number of attempts that may have reached an upstream.
 func (s *Server) shouldRetry(ctx context.Context, q *request, res *result, policy *config.RetryPolicy, reached int) bool {
-	if ctx.Err() != nil || q.caller.Closed() || q.bodyTail != nil || time.Until(q.deadline) < minAttemptTime {
+	// The other nodes of the service would refuse a quarantined call too.
+	if res.reason == ReasonQuarantined || ctx.Err() != nil || q.caller.Closed() || q.bodyTail != nil || time.Until(q.deadline) < minAttemptTime {
 		return false
 	}
 	outcome := call.RanNo
@@ -191,6 +192,9 @@
 		return placement.ConnectionBroken
 	}
 	switch res.reason {
+	case ReasonQuarantined, ReasonSuspectRunning:
+		// It says nothing about the instance either.
+		return placement.Canceled
 	case ReasonShed:
 		return placement.Shed
 	case ReasonLinkBusy:
--- a/internal/mesh/caller_request.go
+++ b/internal/mesh/caller_request.go
@@ -44,6 +44,7 @@
 	q.header = make(http.Header, len(r.Header)+2)
 	relay.CopyEndToEndHeaders(q.header, r.Header)
 	deleteNodeHeaders(q.header)
+	q.callerService = s.cfg.Service
 	q.header[s.cfg.HeaderNames.CallerService] = []string{s.cfg.Service}
 	return q, s.bufferUnscheduled(q, r)
 }
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -4,6 +4,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/filbertpier/filbertpier/internal/instance"
+	"github.com/filbertpier/filbertpier/internal/quarantine"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
@@ -31,6 +32,10 @@
 	// ObservePeerRevision is called with the host of another node and the latest
 	// platform revision that it reported.
 	ObservePeerRevision func(host string, revision uint64)
-	Log                 hclog.Logger
-	Metrics             *Metrics
+	// Quarantine decides which calls may run on the upstream, and Crashes tells the
+	// other nodes of its service about them.
+	Quarantine *quarantine.Guard
+	Crashes    CrashReporter
+	Log        hclog.Logger
+	Metrics    *Metrics
 }
--- a/internal/mesh/limits.go
+++ b/internal/mesh/limits.go
@@ -52,6 +52,9 @@
 	// retransmissions on the path with the highest latency, so that a lost packet
 	// is not taken for a lost node.
 	peerTCPUserTimeout = 700 * time.Millisecond
+	// quarantineShareInterval is how often a node that knows quarantined calls tells
+	// another node of the service about them.
+	quarantineShareInterval = 2 * time.Second
 	// MaxHeaderBytes bounds the header of a request.
 	MaxHeaderBytes = 64 << 10
 )
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -22,13 +22,19 @@
 	return res
 }
 
-// admitAndRun waits for a slot and sends the call to the upstream.
+// admitAndRun waits for a slot and sends the call to the upstream unless it crashes
+// upstreams.
 func (s *Server) admitAndRun(ctx context.Context, q *request, targetID string) *result {
 	self, res := s.localInstance(targetID)
 	if res != nil {
 		return res
 	}
 	s.updateLimits(self)
+	admission, res := s.crashGuard.admit(ctx, q)
+	if res != nil {
+		return res
+	}
+	defer admission.Release()
 	release, err := s.limiter.Acquire(ctx, &call.Call{
 		Route: q.route, Rank: q.rank, Deadline: q.deadline, SoftDeadline: q.due, Caller: q.caller,
 	})
@@ -48,8 +54,12 @@
 	if !s.misdirected.Admits(start, self) {
 		return misdirected(targetID)
 	}
+	if res = s.crashGuard.begin(ctx, admission); res != nil {
+		return res
+	}
 	res = s.sendToUpstream(ctx, q, self)
 	res.runTime = time.Since(start)
+	s.crashGuard.observe(admission, res)
 	switch {
 	case res.reason == ReasonOtherInstance:
 		s.misdirected.Record(time.Now(), self)
--- a/internal/mesh/metrics.go
+++ b/internal/mesh/metrics.go
@@ -22,6 +22,8 @@
 	// DisconnectedBeforeSend counts the calls whose caller had disconnected when the
 	// node was about to send them, by the next hop: node or upstream.
 	DisconnectedBeforeSend *prometheus.CounterVec
+	// UpstreamCrashes counts the crashes of the upstream beside the node during a call.
+	UpstreamCrashes prometheus.Counter
 }
 
 // NewMetrics creates the metrics and registers them with r. It panics if one of
@@ -37,8 +39,10 @@
 			Help: "Calls sent to the upstream again after a reused connection broke."}),
 		DisconnectedBeforeSend: newCounterVec("mesh_disconnected_before_send_total",
 			"Calls whose caller had disconnected when they were about to be sent.", "hop"),
+		UpstreamCrashes: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "mesh_upstream_crashes_total",
+			Help: "Crashes of the upstream during a call."}),
 	}
-	r.MustRegister(m.Calls, m.CallSeconds, m.Attempts, m.Admissions, m.Retries, m.Resends, m.DisconnectedBeforeSend)
+	r.MustRegister(m.Calls, m.CallSeconds, m.Attempts, m.Admissions, m.Retries, m.Resends, m.DisconnectedBeforeSend, m.UpstreamCrashes)
 	return m
 }
 
--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -76,6 +76,7 @@
 	}
 	q.header = make(http.Header, len(r.Header)+2)
 	relay.CopyEndToEndHeaders(q.header, r.Header)
+	q.callerService = r.Header.Get(s.cfg.HeaderNames.CallerService)
 	return q
 }
 
--- a/internal/mesh/read_late_test.go
+++ b/internal/mesh/read_late_test.go
@@ -18,6 +18,8 @@
 	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/mesh"
+	"github.com/filbertpier/filbertpier/internal/quarantine"
+	"github.com/filbertpier/filbertpier/internal/quarantine/reports"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
@@ -43,6 +45,7 @@
 		HeaderNames: mesh.HeaderNames{AttemptID: "Id", TimeLeft: "Left", Seal: "Seal", ExpectedInstance: "Want", NotRun: "Not-Run", CallerService: "Caller"},
 		Zone:        "z", Region: "r", Service: "a", UpstreamAddr: addr, Store: store, Directory: directory,
 		Revision: func() uint64 { return 1 }, ObservePeerRevision: func(string, uint64) {},
+		Quarantine: quarantine.NewGuard(), Crashes: reports.NewSender(func() []string { return nil }),
 		Log: hclog.NewNullLogger(), Metrics: mesh.NewMetrics(prometheus.NewRegistry()),
 	})
 }
--- a/internal/mesh/reason.go
+++ b/internal/mesh/reason.go
@@ -47,4 +47,9 @@
 	ReasonRetryBudget Reason = "retry-budget"
 	// ReasonLinkBusy: the VM's link is too busy to send the response in time.
 	ReasonLinkBusy Reason = "link-busy"
+	// ReasonQuarantined: the call crashes upstreams.
+	ReasonQuarantined Reason = "quarantined"
+	// ReasonSuspectRunning: the call ran when an upstream crashed, and another such
+	// call is running on this one.
+	ReasonSuspectRunning Reason = "suspect-running"
 )
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -19,7 +19,9 @@
 	target string
 	host   string
 	header http.Header
-	body   []byte
+	// callerService is the service on whose VM the call began.
+	callerService string
+	body          []byte
 	// bodyTail is the remainder of a body that is too large to buffer; such a
 	// call is sent only once.
 	bodyTail io.Reader
--- a/internal/mesh/respond.go
+++ b/internal/mesh/respond.go
@@ -107,7 +107,10 @@
 // time until the upstreams are expected to have capacity, plus a random part of
 // up to half of it, so that callers refused together do not return together.
 func retryAfter(res *result) string {
-	wait := min(max(res.expectedWait, minRetryAfter), maxRetryAfter)
+	wait := max(res.expectedWait, minRetryAfter)
+	if res.reason != ReasonQuarantined {
+		wait = min(wait, maxRetryAfter)
+	}
 	wait += rand.N(wait/2 + 1)
 	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
 }
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -27,6 +27,7 @@
 	peers         *httpconn.Pool
 	trafficSplits *split.Chooser
 	prober        *probe.Prober
+	crashGuard    *crashGuard
 	// routeSizes holds the mean size of responses by route, responseSizes that of
 	// responses to other nodes by rank.
 	routeSizes, responseSizes *placement.MeanSizes
@@ -74,6 +75,11 @@
 	s.background, s.endBackground = context.WithCancel(context.Background())
 	s.callsCanceled, s.cancelCalls = context.WithCancel(context.Background())
 	s.prober = probe.NewProber(s.peers.Warm)
+	s.crashGuard = &crashGuard{
+		guard: cfg.Quarantine, reporter: cfg.Crashes, log: cfg.Log, crashes: cfg.Metrics.UpstreamCrashes,
+		probe:     func(ctx context.Context) error { return s.upstream.Warm(ctx, cfg.UpstreamAddr) },
+		closeIdle: s.upstream.Close,
+	}
 	return s
 }
 
@@ -88,6 +94,7 @@
 	ticker := time.NewTicker(cleanupInterval)
 	defer ticker.Stop()
 	defer s.endBackground()
+	go s.crashGuard.shareQuarantined(s.background)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/quarantine/admission.go
+++ b/internal/quarantine/admission.go
@@ -17,9 +17,10 @@
 // suspect meanwhile and another suspect runs, it returns a *SuspectRunningError. It
 // returns a *QuarantinedError for a request that must not run.
 func (a *Admission) Begin() error {
-	switch a.guard.Table.State(time.Now(), a.fingerprint) {
+	state, remaining := a.guard.Table.Lookup(time.Now(), a.fingerprint)
+	switch state {
 	case StateQuarantined:
-		return &QuarantinedError{}
+		return &QuarantinedError{Remaining: remaining}
 	case StateSuspect:
 		if a.Suspect {
 			break
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -10,3 +10,16 @@
 	// passed.
 	Reported chan struct{}
 }
+
+// Fingerprints returns the fingerprints of the suspects, each once.
+func (c *Crash) Fingerprints() []Fingerprint {
+	seen := make(map[Fingerprint]bool, len(c.Suspects))
+	var list []Fingerprint
+	for _, s := range c.Suspects {
+		if !seen[s.Fingerprint] {
+			seen[s.Fingerprint] = true
+			list = append(list, s.Fingerprint)
+		}
+	}
+	return list
+}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -25,9 +25,10 @@
 // and, if ctx ends first, *SuspectRunningError.
 func (g *Guard) Admit(ctx context.Context, f Fingerprint) (*Admission, error) {
 	a := &Admission{guard: g, fingerprint: f}
-	switch g.Table.State(time.Now(), f) {
+	state, remaining := g.Table.Lookup(time.Now(), f)
+	switch state {
 	case StateQuarantined:
-		return nil, &QuarantinedError{}
+		return nil, &QuarantinedError{Remaining: remaining}
 	case StateSuspect:
 		select {
 		case g.suspectSlot <- struct{}{}:
--- /dev/null
+++ b/internal/quarantine/reports/quarantine_list.go
@@ -0,0 +1,6 @@
+package reports
+
+// quarantineList lists quarantined fingerprints.
+type quarantineList struct {
+	Entries []quarantineEntry `json:"entries"`
+}
--- a/internal/quarantine/shard.go
+++ b/internal/quarantine/shard.go
@@ -12,14 +12,15 @@
 	entries map[Fingerprint]entry
 }
 
-func (s *shard) state(now time.Time, f Fingerprint) State {
+// lookup returns the state of f and how long it lasts; zero for StateClear.
+func (s *shard) lookup(now time.Time, f Fingerprint) (State, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.entries[f]
-	if !ok || !now.Before(e.expiresAt) {
-		return StateClear
+	if !ok || e.state == StateClear || !now.Before(e.expiresAt) {
+		return StateClear, 0
 	}
-	return e.state
+	return e.state, e.expiresAt.Sub(now)
 }
 
 // record raises the state of f until now plus lifetime, and returns the resulting
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -22,7 +22,16 @@
 }
 
 // State returns the state of a fingerprint at now.
-func (t *Table) State(now time.Time, f Fingerprint) State { return t.shard(f).state(now, f) }
+func (t *Table) State(now time.Time, f Fingerprint) State {
+	state, _ := t.Lookup(now, f)
+	return state
+}
+
+// Lookup returns the state of a fingerprint at now and how long the state lasts unless
+// a report changes it; zero for StateClear.
+func (t *Table) Lookup(now time.Time, f Fingerprint) (State, time.Duration) {
+	return t.shard(f).lookup(now, f)
+}
 
 // RecordSuspect records one entry of a crash report and returns the resulting
 // state of its fingerprint. A sole suspect that has succeeded here since it was last
--- a/internal/replica/peers/client.go
+++ b/internal/replica/peers/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -59,6 +60,19 @@
 	return append(sameRegion, otherRegions[:min(len(otherRegions), maxCandidates-len(sameRegion))]...)
 }
 
+// ServicePeers returns the control addresses of the other nodes beside the upstreams of
+// a service.
+func (c *Client) ServicePeers(service string) []string {
+	var addrs []string
+	for _, i := range c.Directory.Service(service) {
+		host, _, err := net.SplitHostPort(i.Addr)
+		if addr := c.ControlAddr(host); err == nil && addr != c.Self && i.State != instance.Gone && !slices.Contains(addrs, addr) {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
 // ControlAddr returns the control address of the node on a host.
 func (c *Client) ControlAddr(host string) string { return net.JoinHostPort(host, c.Port) }
 
@@ -88,27 +102,20 @@
 	if err != nil {
 		return replica.Page{}, err
 	}
-	page, err := c.call(ctx, conn, addr, fetchParams{AfterRevision: r.AfterRevision, WaitMs: r.Wait.Milliseconds(), Confirmation: r.Confirmation})
+	var page wirePage
+	err = callOn(ctx, conn, addr, fetchMethod, fetchParams{AfterRevision: r.AfterRevision, WaitMs: r.Wait.Milliseconds(), Confirmation: r.Confirmation}, &page)
 	if err != nil {
 		c.parent.drop()
+		return replica.Page{}, err
 	}
-	return page, err
+	return c.decompressor.decompressPage(&page)
 }
 
 // Fetch implements replica.Fetcher. It returns a *FetchError or a *CodecError.
 func (c *Client) Fetch(ctx context.Context, addr string, afterRevision uint64) (replica.Page, error) {
-	conn, err := dial(ctx, addr)
-	if err != nil {
-		return replica.Page{}, err
-	}
-	defer func() { _ = conn.Close() }()
-	return c.call(ctx, conn, addr, fetchParams{AfterRevision: afterRevision})
-}
-
-func (c *Client) call(ctx context.Context, conn *jsonrpc2.Conn, addr string, p fetchParams) (replica.Page, error) {
 	var page wirePage
-	if err := conn.Call(ctx, fetchMethod, p, &page); err != nil {
-		return replica.Page{}, &FetchError{Addr: addr, Err: err}
+	if err := Call(ctx, addr, fetchMethod, fetchParams{AfterRevision: afterRevision}, &page); err != nil {
+		return replica.Page{}, err
 	}
 	return c.decompressor.decompressPage(&page)
 }
--- a/internal/replica/peers/server.go
+++ b/internal/replica/peers/server.go
@@ -30,14 +30,17 @@
 	listener   net.Listener
 	publisher  *replica.Publisher
 	compressor *compressor
-	conns      atomic.Int64
+	// methods are the methods besides fetchMethod.
+	methods map[string]Method
+	conns   atomic.Int64
 	// ctx ends with Close.
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-// Listen starts a server on addr. It returns a *listener.Error or a *CodecError.
-func Listen(addr string, publisher *replica.Publisher) (*Server, error) {
+// Listen starts a server on addr, which also serves the given methods. It returns a
+// *listener.Error or a *CodecError.
+func Listen(addr string, publisher *replica.Publisher, methods map[string]Method) (*Server, error) {
 	c, err := newCompressor()
 	if err != nil {
 		return nil, err
@@ -47,7 +50,7 @@
 	if err != nil {
 		return nil, &listener.Error{Addr: addr, Err: err}
 	}
-	s := &Server{listener: l, publisher: publisher, compressor: c}
+	s := &Server{listener: l, publisher: publisher, compressor: c, methods: methods}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	go s.accept()
 	return s, nil
@@ -85,13 +88,26 @@
 }
 
 func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-	if r.Method != fetchMethod || r.Params == nil {
+	method, known := s.methods[r.Method]
+	if r.Method == fetchMethod {
+		method, known = s.fetch, true
+	}
+	if !known || r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	}
-	var p fetchParams
-	if err := json.Unmarshal(*r.Params, &p); err != nil {
+	result, err := method(ctx, *r.Params)
+	if err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
+	return result, nil
+}
+
+// fetch implements fetchMethod.
+func (s *Server) fetch(ctx context.Context, params json.RawMessage) (any, error) {
+	var p fetchParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, err
+	}
 	page := s.publisher.Page(ctx, replica.FollowRequest{
 		AfterRevision: p.AfterRevision, Confirmation: p.Confirmation, Wait: min(time.Duration(p.WaitMs)*time.Millisecond, maxWait),
 	})
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -293,6 +293,11 @@
 	return v.callWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}, method, path)
 }
 
+// postWith sends a POST call with a body on a connection of the client.
+func (v *vm) postWith(client *http.Client, path, body string) response {
+	return v.send(client, http.MethodPost, path, strings.NewReader(body))
+}
+
 // callWith sends a call like call, on a connection of the client.
 func (v *vm) callWith(client *http.Client, method, path string) response {
 	return v.send(client, method, path, nil)
@@ -300,8 +305,7 @@
 
 // upload sends a POST call with a body on a new connection.
 func (v *vm) upload(path, body string) response {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
-	return v.send(client, http.MethodPost, path, strings.NewReader(body))
+	return v.postWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}, path, body)
 }
 
 func (v *vm) send(client *http.Client, method, path string, body io.Reader) response {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -15,6 +15,8 @@
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/listener"
 	"github.com/filbertpier/filbertpier/internal/mesh"
+	"github.com/filbertpier/filbertpier/internal/quarantine"
+	"github.com/filbertpier/filbertpier/internal/quarantine/reports"
 	"github.com/filbertpier/filbertpier/internal/replica"
 	"github.com/filbertpier/filbertpier/internal/replica/peers"
 	"github.com/filbertpier/filbertpier/internal/settings"
@@ -40,7 +42,7 @@
 func Start(s *settings.Sidecar, a Adapter, log hclog.Logger) (*Node, error) {
 	n := &Node{settings: s, log: log, requests: newRequestTracker()}
 	registry := prometheus.NewRegistry()
-	store, directory := snapshot.NewStore(), instance.NewDirectory()
+	store, directory, guard := snapshot.NewStore(), instance.NewDirectory(), quarantine.NewGuard()
 	applier := feed.NewApplier(a.Decoder, store, directory, log.Named("feed"))
 	table := replica.NewTable(applier.Apply)
 	client := &peers.Client{
@@ -61,9 +63,11 @@
 		LinkBytesPerSecond: s.LinkBytesPerSecond,
 		Store:              store, Directory: directory, Revision: table.Revision,
 		ObservePeerRevision: func(host string, revision uint64) { n.reader.ObservePeerRevision(client.ControlAddr(host), revision) },
+		Quarantine:          guard,
+		Crashes:             reports.NewSender(func() []string { return client.ServicePeers(s.Service) }),
 		Log:                 log.Named("call"), Metrics: mesh.NewMetrics(registry),
 	})
-	if err := n.listen(a, registry); err != nil {
+	if err := n.listen(a, registry, reports.NewReceiver(guard.Table)); err != nil {
 		n.Close()
 		return nil, err
 	}
@@ -76,13 +80,13 @@
 
 // listen opens the ports for other nodes, for callers, for the readiness check
 // and, if set, for metrics.
-func (n *Node) listen(a Adapter, registry *prometheus.Registry) error {
+func (n *Node) listen(a Adapter, registry *prometheus.Registry, crashes *reports.Receiver) error {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+a.ReadyPath, n.serveReady)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET "+a.MetricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	var err error
-	if n.peerServer, err = peers.Listen(n.settings.Listen.Control, replica.NewPublisher(n.reader)); err != nil {
+	if n.peerServer, err = peers.Listen(n.settings.Listen.Control, replica.NewPublisher(n.reader), crashes.Methods()); err != nil {
 		return err
 	}
 	l := n.settings.Listen
