--- a/internal/replica/parent_cut_test.go
+++ b/internal/replica/parent_cut_test.go
@@ -55,3 +55,25 @@
 		}
 	})
 }
+
+// Guards against a node that loses its copy, or never sees a change again, because the
+// changes since its revision are longer than a response that it keeps.
+func TestOversizedWatchIsReplacedByAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform, root, child := startPair(t)
+		root.source.oversized.Store(true)
+		time.Sleep(configApplyBound)
+		if got := root.table.Revision(); got != 1 {
+			t.Errorf("the node is at revision %d while no response can be kept, want 1", got)
+		}
+		for revision := uint64(2); revision <= 4; revision++ {
+			platform.put("config", false)
+			time.Sleep(configApplyBound)
+			for _, n := range []*testNode{root, child} {
+				if got := n.table.Revision(); got != revision {
+					t.Errorf("a node is at revision %d %s after the change, want %d", got, configApplyBound, revision)
+				}
+			}
+		}
+	})
+}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -105,6 +105,11 @@
 			r.listed.Store(false)
 			continue
 		}
+		var oversized *OversizedPageError
+		if errors.As(err, &oversized) {
+			// A list comes in pages, each of which is shorter than a watch's changes.
+			r.listed.Store(false)
+		}
 		r.markDisconnected(err)
 		if !sleep(ctx, backoff/2+rand.N(backoff)) {
 			return
--- a/internal/replica/test_source_test.go
+++ b/internal/replica/test_source_test.go
@@ -13,6 +13,8 @@
 	cut      atomic.Bool
 	// compacted makes the pending or next watch report that the history is gone.
 	compacted atomic.Bool
+	// oversized makes each watch report that its response is too long.
+	oversized atomic.Bool
 	// reads counts the reads that were begun.
 	reads atomic.Int64
 }
@@ -34,6 +36,9 @@
 		if s.compacted.Swap(false) {
 			return Page{}, &CompactedError{Revision: after}
 		}
+		if s.oversized.Load() {
+			return Page{}, &OversizedPageError{Limit: 1}
+		}
 		page, changed := s.platform.pageAfter(after, false)
 		if len(page.Items) > 0 && !s.cut.Load() {
 			return page, nil
