replica/peers: bound the messages that a node reads from others

Seen: a process that sends a message without end on a control connection, as a response or a request, grew the heap by 1.0 to 1.9 GB within seconds. Cause: the library's codec reads header lines and as many bytes as the header claims without a limit (the same class as the store's client).

--- a/internal/quarantine/reports/methods.go
+++ b/internal/quarantine/reports/methods.go
@@ -9,5 +9,5 @@
 	shareMethod = "quarantine.share"
 	// maxFingerprints bounds the fingerprints of one message. It exceeds the calls
 	// that run on an upstream at once.
-	maxFingerprints = 4096
+	maxFingerprints = 1024
 )
--- a/internal/replica/peers/client.go
+++ b/internal/replica/peers/client.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return nil, &FetchError{Addr: addr, Err: err}
 	}
-	return jsonrpc2.NewConn(context.Background(), newStream(raw), jsonrpc2.HandlerWithError(rejectRequest)), nil
+	return jsonrpc2.NewConn(context.Background(), newStream(raw, maxResponseBytes), jsonrpc2.HandlerWithError(rejectRequest)), nil
 }
 
 // rejectRequest rejects requests from the server: the client offers no methods.
--- a/internal/replica/peers/server.go
+++ b/internal/replica/peers/server.go
@@ -56,6 +56,9 @@
 	return s, nil
 }
 
+// Addr returns the address on which the server listens.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
 // Close closes the listener and the connections.
 func (s *Server) Close() {
 	s.cancel()
@@ -79,7 +82,7 @@
 
 func (s *Server) serve(c net.Conn) {
 	defer s.conns.Add(-1)
-	conn := jsonrpc2.NewConn(s.ctx, newStream(c), jsonrpc2.HandlerWithError(s.handle))
+	conn := jsonrpc2.NewConn(s.ctx, newStream(c, maxRequestBytes), jsonrpc2.HandlerWithError(s.handle))
 	select {
 	case <-conn.DisconnectNotify():
 	case <-s.ctx.Done():
@@ -120,7 +123,3 @@
 	}
 	return out, nil
 }
-
-func newStream(c net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(c, jsonrpc2.VSCodeObjectCodec{})
-}
