dataplane: bound the head of a response

Seen: an upstream of fpnode that sent a head without end grew the heap by 262 to 285 MiB with 24 callers; a node has 64 MB for control. Cause: net/http accepts heads of 10 MB by default, for each call at once. Change: 64 KiB, as internal/httpconn has it for fpsidecar.

--- a/internal/dataplane/limits.go
+++ b/internal/dataplane/limits.go
@@ -34,4 +34,7 @@
 	// fails. Five intervals allow for delays between regions and a busy machine; a
 	// longer timeout detects dead connections later.
 	peerSilenceTimeout = 5 * progressInterval
+	// maxResponseHeaderBytes bounds the head of a response together with its interim
+	// responses. A faulty upstream may send bytes without end.
+	maxResponseHeaderBytes = 64 << 10
 )
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -62,11 +62,12 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		MaxConnsPerHost:     maxConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxConnsPerHost:        maxConns,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
 	}
 }
 
