mesh: do not read the body of another node's refusal without end

Seen: a refusal whose body does not end held the call until its deadline. Cause: the body was read to its end, whatever its length. Change: Response.Discard, which closes the connection after 64 KiB.

--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -97,8 +96,7 @@
 		res = s.bufferResponse(ctx, q, resp)
 		s.inbound.Charge(len(res.body))
 	} else {
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
+		_ = resp.Discard()
 		res = &result{kind: kind, reason: Reason(resp.Header.Get(headerReason))}
 		res.reachedUpstream = resp.Header.Get(headerReachedUpstream) != ""
 		res.detail = resp.Header.Get(headerDetail)
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -140,7 +140,7 @@
 }
 
 // sectionBody returns a document with two routes to a service: /safe/, which is
-// idempotent, and /once/, which is not.
+// idempotent, and /once/, which is not. A third one, /other/, leads to service b.
 func sectionBody(service string) config.SectionBody {
 	return config.SectionBody{
 		Section: "main", Owner: "ops",
@@ -150,6 +150,7 @@
 		Routes: []config.Route{
 			{Name: "safe", Host: "h", PathPrefix: "/safe/", Service: service, Rank: "r", Idempotent: true, TimeoutMs: 3000, Retry: "two"},
 			{Name: "once", Host: "h", PathPrefix: "/once/", Service: service, Rank: "r", TimeoutMs: 3000, Retry: "two"},
+			{Name: "other", Host: "h", PathPrefix: "/other/", Service: "b", Rank: "r", Idempotent: true, TimeoutMs: 3000, Retry: "two"},
 		},
 	}
 }
