replica/peers: name the error of a call for all methods

Cause: FetchError is returned by calls that fetch nothing since the control port serves further methods. Change: CallError; its text names the method. No other behaviour changes.

--- a/internal/replica/peers/call.go
+++ b/internal/replica/peers/call.go
@@ -7,7 +7,7 @@
 )
 
 // Call calls a JSON-RPC method of the node at addr over a connection that is closed
-// afterwards, and decodes its result. It returns a *FetchError.
+// afterwards, and decodes its result. It returns a *CallError.
 func Call(ctx context.Context, addr, method string, params, result any) error {
 	conn, err := dial(ctx, addr)
 	if err != nil {
@@ -19,7 +19,7 @@
 
 func callOn(ctx context.Context, conn *jsonrpc2.Conn, addr, method string, params, result any) error {
 	if err := conn.Call(ctx, method, params, result); err != nil {
-		return &FetchError{Addr: addr, Method: method, Err: err}
+		return &CallError{Addr: addr, Method: method, Err: err}
 	}
 	return nil
 }
--- a/internal/replica/peers/client.go
+++ b/internal/replica/peers/client.go
@@ -96,7 +96,7 @@
 }
 
 // Follow implements replica.Fetcher. Only one goroutine may call it. It returns
-// a *FetchError or a *CodecError.
+// a *CallError or a *CodecError.
 func (c *Client) Follow(ctx context.Context, addr string, r replica.FollowRequest) (replica.Page, error) {
 	conn, err := c.parent.get(ctx, addr)
 	if err != nil {
@@ -111,7 +111,7 @@
 	return c.decompressor.decompressPage(&page)
 }
 
-// Fetch implements replica.Fetcher. It returns a *FetchError or a *CodecError.
+// Fetch implements replica.Fetcher. It returns a *CallError or a *CodecError.
 func (c *Client) Fetch(ctx context.Context, addr string, afterRevision uint64) (replica.Page, error) {
 	var page wirePage
 	if err := Call(ctx, addr, fetchMethod, fetchParams{AfterRevision: afterRevision}, &page); err != nil {
@@ -123,7 +123,7 @@
 func dial(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, &FetchError{Addr: addr, Err: err}
+		return nil, &CallError{Addr: addr, Err: err}
 	}
 	return jsonrpc2.NewConn(context.Background(), newStream(raw, maxResponseBytes), jsonrpc2.HandlerWithError(rejectRequest)), nil
 }
--- a/internal/replica/peers/endless_test.go
+++ b/internal/replica/peers/endless_test.go
@@ -63,9 +63,9 @@
 					defer cancel()
 					err = do(ctx, &peers.Client{}, l.Addr().String())
 				})
-				var fetch *peers.FetchError
+				var fetch *peers.CallError
 				if !errors.As(err, &fetch) || time.Since(began) > 10*time.Second {
-					t.Errorf("got %v after %s, want a *FetchError long before the deadline of 20 s", err, time.Since(began))
+					t.Errorf("got %v after %s, want a *CallError long before the deadline of 20 s", err, time.Since(began))
 				}
 				if grown > maxHeapGrowth {
 					t.Errorf("the heap grew by %d bytes, want at most %d", grown, maxHeapGrowth)
--- a/internal/replica/peers/parent_conn.go
+++ b/internal/replica/peers/parent_conn.go
@@ -17,7 +17,7 @@
 }
 
 // get returns the connection to a node, and dials if there is none. A connection
-// to another node is closed first. It returns a *FetchError.
+// to another node is closed first. It returns a *CallError.
 func (p *parentConn) get(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
