runtime: drop messages that arrive before the start

Without the race detector its response has no sender and the task fails. Cause: fpnode opens its port for other nodes before Runtime.Start. Change: messages before Start are dropped and counted, as those that do not fit in the queue are; a node that starts asks again. Test: TestMessageBeforeStartIsDropped fails without the change, passes 5 of 5 with -race.

--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -31,8 +32,10 @@
 // Runtime drives an agent in real time, or in virtual time inside a
 // testing/synctest bubble. It is safe for concurrent use.
 type Runtime struct {
-	agent      *control.Agent
+	agent *control.Agent
+	// sender is set before started.
 	sender     Sender
+	started    atomic.Bool
 	platform   platform.Client
 	log        hclog.Logger
 	metrics    *telemetry.Metrics
@@ -59,12 +62,17 @@
 // Start lets the agent begin to join the fleet. Messages are sent through sender.
 func (r *Runtime) Start(sender Sender) {
 	r.sender = sender
+	r.started.Store(true)
 	r.apply(r.agent.Start(time.Now()))
 }
 
 // Receive queues a message from a peer. It never blocks: a message that does
-// not fit in the queue is dropped and counted.
+// not fit in the queue, or that arrives before Start, is dropped and counted.
 func (r *Runtime) Receive(m message.Message) {
+	if !r.started.Load() {
+		r.metrics.Dropped()
+		return
+	}
 	if _, ok := r.workerPool.TrySubmit(func() { r.apply(r.agent.HandleMessage(time.Now(), m)) }); !ok {
 		r.metrics.Dropped()
 	}
