replica: one read of the store after one late response

Cause: a node short of processor time gets a confirmation late more often than it missed the earlier timeout, and then read the store for 3 s, with one call for each change. Change: the first late response costs one read that confirms the copy; a second one in a row, a failure or a parent that says that it is not up to date leads to 3 s of direct reads as before.

--- a/internal/replica/ancestors_cut_test.go
+++ b/internal/replica/ancestors_cut_test.go
@@ -101,3 +101,29 @@
 		}
 	})
 }
+
+// Guards against nodes that read the platform for seconds after a single late response of
+// their parent: on a busy day there are many such responses and many changes.
+func TestOneLateResponseCostsOneReadOfThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newTestPlatform()
+		fleet := newTestFleet()
+		platform.put("config", false)
+		fleet.add(t, platform, "root", "")
+		child := fleet.add(t, platform, "child", "root")
+		time.Sleep(10500 * time.Millisecond)
+		before := child.source.reads.Load()
+		fleet.delay.Store(int64(2 * time.Second))
+		for range 10 {
+			time.Sleep(500 * time.Millisecond)
+			platform.put("config", false)
+		}
+		time.Sleep(configApplyBound)
+		if n := child.source.reads.Load() - before; n != 1 {
+			t.Errorf("the child read the platform %d times after one late response, want once", n)
+		}
+		if got := child.table.Revision(); got != 11 {
+			t.Errorf("the child is at revision %d, want 11", got)
+		}
+	})
+}
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -28,6 +28,10 @@
 	// directReadUntil is when the node may read from its parent again. Only
 	// the goroutine of runReads uses it and the following fields.
 	directReadUntil time.Time
+	// confirmOnce makes the next read confirm the copy at the platform at once.
+	confirmOnce bool
+	// lateParent is set if the last poll of the parent was late.
+	lateParent bool
 	// parent is the node that was last followed, and parentConfirmation the
 	// confirmation of its last response.
 	parent             string
@@ -124,19 +128,36 @@
 func (r *Reader) readNext(ctx context.Context) error {
 	position := r.cfg.TreePosition()
 	r.depth.Store(int64(position.Depth))
-	if position.Parent == "" || r.table.Revision() == 0 || time.Now().Before(r.directReadUntil) {
-		return r.readPlatform(ctx, position)
-	}
-	err := r.follow(ctx, position.Parent)
-	if err != nil {
-		r.cfg.Observer.PeerFailed(position.Parent, err)
-		r.directReadUntil = time.Now().Add(directReadTime)
+	if position.Parent == "" || r.table.Revision() == 0 || r.confirmOnce || time.Now().Before(r.directReadUntil) {
+		err := r.readPlatform(ctx, position)
+		r.confirmOnce = false
+		return err
 	}
+	r.planAfterPoll(position.Parent, r.follow(ctx, position.Parent))
 	return nil
 }
 
+// planAfterPoll decides where the next reads go after a poll of the parent. A single
+// late response costs one read of the platform; a parent that is late twice in a row, or
+// that failed, is left for directReadTime.
+func (r *Reader) planAfterPoll(parent string, err error) {
+	if err == nil {
+		r.lateParent = false
+		return
+	}
+	r.cfg.Observer.PeerFailed(parent, err)
+	var late *LateParentError
+	if errors.As(err, &late) && !r.lateParent {
+		r.lateParent, r.confirmOnce = true, true
+		return
+	}
+	r.lateParent = false
+	r.directReadUntil = time.Now().Add(directReadTime)
+}
+
 // follow waits for changes and for a confirmation at the parent and merges them. It
-// returns a *StalePeerError if the parent cannot confirm its copy.
+// returns a *StalePeerError if the parent cannot confirm its copy, and a
+// *LateParentError if it does not do so in time.
 func (r *Reader) follow(runCtx context.Context, addr string) error {
 	if addr != r.parent {
 		r.parent, r.parentConfirmation = addr, 0
@@ -147,6 +168,9 @@
 	page, err := r.cfg.Peers.Follow(ctx, addr, FollowRequest{
 		AfterRevision: r.table.Revision(), Confirmation: r.parentConfirmation, Wait: wait,
 	})
+	if errors.Is(err, context.DeadlineExceeded) {
+		return &LateParentError{Addr: addr, Err: err}
+	}
 	if err != nil {
 		return err
 	}
@@ -158,9 +182,12 @@
 	} else {
 		r.table.Merge(page)
 	}
-	if !page.Fresh || r.freshLeft(time.Now()) <= 0 {
+	if !page.Fresh {
 		return &StalePeerError{Addr: addr, Revision: page.Revision}
 	}
+	if r.freshLeft(time.Now()) <= 0 {
+		return &LateParentError{Addr: addr}
+	}
 	return nil
 }
 
@@ -198,6 +225,9 @@
 // platformWait returns the long-poll time of a watch. A node on which others rely
 // confirms its copy once in watchWait, and at once if that time has passed.
 func (r *Reader) platformWait(position TreePosition) time.Duration {
+	if r.confirmOnce {
+		return 0
+	}
 	if position.Parent != "" && !position.HasChildren {
 		return fallbackWatchWait
 	}
--- a/internal/replica/test_fleet_test.go
+++ b/internal/replica/test_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -12,6 +13,8 @@
 	// mu guards nodes.
 	mu    sync.Mutex
 	nodes map[string]*testNode
+	// delay is how much later than the parent responds the next response arrives.
+	delay atomic.Int64
 }
 
 func newTestFleet() *testFleet { return &testFleet{nodes: map[string]*testNode{}} }
@@ -27,7 +30,12 @@
 }
 
 func (f *testFleet) Follow(ctx context.Context, addr string, r FollowRequest) (Page, error) {
-	return f.get(addr).publisher.Page(ctx, r), ctx.Err()
+	page := f.get(addr).publisher.Page(ctx, r)
+	select {
+	case <-time.After(time.Duration(f.delay.Swap(0))):
+	case <-ctx.Done():
+	}
+	return page, ctx.Err()
 }
 
 func (f *testFleet) Candidates(time.Time) []string { return nil }
