route: allowed regions, cold starts and evacuated zones

Cause: routes that name the regions in which their calls may run were served anywhere, cold upstreams got any number of calls and crashed, and operators' requests to evacuate a zone were not read. Change: config.RegionSet decides on regions for both data planes, at each attempt by the current version and at the node beside the upstream. fpsidecar limits the calls to a cold upstream at the node beside it; mesh/coldstart learns of it from the health endpoint, the published entry and lost connections. The directory keeps evacuated zones out of service.

--- a/config/compiler_checks.go
+++ b/config/compiler_checks.go
@@ -1,9 +1,11 @@
 package config
 
 import (
+	"fmt"
 	"net/http"
 	"path"
 	"regexp"
+	"slices"
 	"strings"
 )
 
@@ -75,6 +77,12 @@
 	case s.Connections < s.Slots:
 		c.faultf(src, pointer+"/connections", RuleConnections, "connections is %d, want at least the %d slots", s.Connections, s.Slots)
 	}
+	if s.ColdCallsPerSecond < 0 {
+		c.faultf(src, pointer+"/coldCallsPerSecond", RuleNonNegative, "coldCallsPerSecond is %g, want 0 or more", s.ColdCallsPerSecond)
+	}
+	if s.ColdStartMs < 0 || s.ColdStartMs > MaxColdStartMs {
+		c.faultf(src, pointer+"/coldStartMs", RuleRange, "coldStartMs is %d, want 0 to %d", s.ColdStartMs, MaxColdStartMs)
+	}
 }
 
 func (c *compiler) addRetryPolicy(src *source, pointer string, p *RetryPolicy) {
@@ -102,6 +110,7 @@
 	if r.Method != "" && !knownMethods[r.Method] {
 		c.faultf(src, pointer+"/method", RuleMethod, "unknown method %.40q", r.Method)
 	}
+	c.checkRegions(src, pointer, r.AllowedRegions)
 	if !validPrefix(r.PathPrefix) {
 		c.faultf(src, pointer+"/pathPrefix", RulePathPrefix, "invalid path prefix %.80q: want a clean absolute path of at most 1024 bytes without query, fragment, backslashes, spaces or control characters", r.PathPrefix)
 		return
@@ -117,6 +126,21 @@
 	c.routeByMatch[match] = r.Name
 }
 
+// checkRegions checks that the allowed regions of a route are valid names and differ. A
+// document does not list the regions of the fleet, so a region without VMs is no fault:
+// the calls are refused.
+func (c *compiler) checkRegions(src *source, pointer string, regions RegionSet) {
+	for i, region := range regions {
+		regionPointer := fmt.Sprintf("%s/allowedRegions/%d", pointer, i)
+		switch {
+		case !validName(region):
+			c.faultf(src, regionPointer, RuleNameForm, "invalid region %.80q", region)
+		case slices.Contains(regions[:i], region):
+			c.faultf(src, regionPointer, RuleDuplicateRegion, "region %q is listed twice", region)
+		}
+	}
+}
+
 // validPrefix reports whether p is an absolute path that path.Clean leaves
 // unchanged, apart from one trailing slash, of at most 1024 bytes and without
 // query, fragment, backslashes, spaces, control characters and invalid UTF-8.
--- a/config/limits.go
+++ b/config/limits.go
@@ -25,6 +25,9 @@
 	// MaxBackoffMs bounds the backoff of a retry policy in milliseconds; longer
 	// delays would exceed the deadlines of most calls.
 	MaxBackoffMs = 60_000
+	// MaxColdStartMs bounds the cold start of an upstream in milliseconds; an upstream
+	// that takes longer than an hour does not start.
+	MaxColdStartMs = 3_600_000
 	// MaxSlots bounds the slots of one upstream.
 	MaxSlots = 10_000
 	// MaxConnections bounds the connections of one upstream: a client address has
--- a/config/route.go
+++ b/config/route.go
@@ -30,4 +30,7 @@
 	TargetMs int64 `json:"targetMs,omitempty"`
 	// Retry is the name of a retry policy; empty means no retries.
 	Retry string `json:"retry,omitempty"`
+	// AllowedRegions names the only regions in which calls of the route may run;
+	// empty allows all. Other regions get neither the call nor its body.
+	AllowedRegions RegionSet `json:"allowedRegions,omitempty"`
 }
--- a/config/rules.go
+++ b/config/rules.go
@@ -28,6 +28,7 @@
 	RuleTimeout          = "timeout"
 	RuleMethod           = "method"
 	RuleDuplicateMatch   = "duplicate-match"
+	RuleDuplicateRegion  = "duplicate-region"
 	RuleUnknownService   = "unknown-service"
 	RuleUnknownRank      = "unknown-rank"
 	RuleUnknownRetry     = "unknown-retry"
--- a/config/service.go
+++ b/config/service.go
@@ -17,4 +17,11 @@
 	HealthPath string `json:"healthPath,omitempty"`
 	// Connections is the number of connections that one upstream accepts.
 	Connections int `json:"connections"`
+	// ColdCallsPerSecond is the number of calls per second that an upstream takes
+	// while it is cold, after a start or a long pause; zero if it takes any number.
+	// Only fpsidecar applies it.
+	ColdCallsPerSecond float64 `json:"coldCallsPerSecond,omitempty"`
+	// ColdStartMs is how long in milliseconds an upstream is cold after its start. It
+	// applies until the upstream itself says how long it remains cold.
+	ColdStartMs int64 `json:"coldStartMs,omitempty"`
 }
--- a/internal/dataplane/serve_with_retries.go
+++ b/internal/dataplane/serve_with_retries.go
@@ -78,7 +78,8 @@
 		now := time.Now()
 		d, err := s.picker.Pick(now, routing.Query{
 			View: s.control.Table().View(now), Self: s.control.Self(), Service: service.Selector, Exclude: tried,
-			Order: x.call.Rank.Order, Worth: x.call.Rank.Worth, Deadline: x.call.Deadline,
+			AllowedRegions: x.call.Route.AllowedRegions,
+			Order:          x.call.Rank.Order, Worth: x.call.Rank.Worth, Deadline: x.call.Deadline,
 			Target: time.Duration(x.call.Rank.TargetMs) * time.Millisecond, Rand: rng,
 		})
 		if err == nil {
--- a/internal/feed/applier.go
+++ b/internal/feed/applier.go
@@ -54,6 +54,8 @@
 		switch {
 		case d.change.Instance != nil:
 			a.applyInstance(d)
+		case d.change.Evacuation != nil:
+			a.applyEvacuation(d)
 		case d.change.Snapshot != nil:
 			versions = append(versions, d)
 		case d.change.RemovedID != "":
@@ -83,6 +85,13 @@
 		"slots", i.Slots, "zone", i.Zone, "revision", d.revision)
 }
 
+func (a *Applier) applyEvacuation(d decodedItem) {
+	e := d.change.Evacuation
+	if a.directory.SetEvacuated(e.Zone, e.Active) {
+		a.log.Info("evacuation of a zone", "zone", e.Zone, "active", e.Active, "revision", d.revision)
+	}
+}
+
 func (a *Applier) applyVersion(d decodedItem) {
 	next := d.change.Snapshot
 	if err := a.store.Apply(next); err != nil {
--- a/internal/feed/change.go
+++ b/internal/feed/change.go
@@ -12,6 +12,8 @@
 	Snapshot *snapshot.Snapshot
 	// Instance is the current entry of an upstream.
 	Instance *instance.Instance
+	// Evacuation is the start or the end of a zone's evacuation.
+	Evacuation *Evacuation
 	// RemovedID is the ID of an upstream whose entry was removed or cannot be
 	// decoded.
 	RemovedID string
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -20,8 +20,10 @@
 // safe for concurrent use.
 type Directory struct {
 	// changes serializes the methods that change the directory, which each
-	// take the locks of several shards in turn, and guards leaving.
+	// take the locks of several shards in turn, and guards leaving and evacuated.
 	changes sync.Mutex
+	// evacuated holds the zones whose instances get no calls.
+	evacuated map[string]bool
 	// leaving holds the instances, by id, that said that they leave. An instance
 	// stays here after it was removed from the shards.
 	leaving  map[string]leavingMark
@@ -32,7 +34,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	d := &Directory{leaving: map[string]leavingMark{}}
+	d := &Directory{leaving: map[string]leavingMark{}, evacuated: map[string]bool{}}
 	for i := range directoryShards {
 		d.services[i].byService = map[string][]*Instance{}
 		d.ids[i].byID = map[string]*Instance{}
@@ -65,6 +67,7 @@
 
 // put implements Put. The caller holds changes.
 func (d *Directory) put(i *Instance) {
+	i = i.withEvacuated(d.evacuated[i.Zone])
 	if mark, ok := d.leaving[i.ID]; ok && i.State == Ready && mark.startedAtMs == i.StartedAtMs {
 		i = i.asDraining()
 	}
@@ -120,7 +123,7 @@
 	}
 	d.leaving[said.ID] = leavingMark{startedAtMs: said.StartedAtMs, markedAt: now}
 	i := d.Get(said.ID)
-	if i == nil || i.StartedAtMs != said.StartedAtMs || !i.Serves(now) {
+	if i == nil || i.StartedAtMs != said.StartedAtMs || !i.withEvacuated(false).Serves(now) {
 		return true
 	}
 	next := i.asDraining()
@@ -132,6 +135,34 @@
 	return true
 }
 
+// SetEvacuated starts or ends the evacuation of a zone and reports whether that is a
+// change. The zone's instances, those listed later included, get no calls meanwhile.
+func (d *Directory) SetEvacuated(zone string, evacuated bool) bool {
+	d.changes.Lock()
+	defer d.changes.Unlock()
+	if d.evacuated[zone] == evacuated {
+		return false
+	}
+	if evacuated {
+		d.evacuated[zone] = true
+	} else {
+		delete(d.evacuated, zone)
+	}
+	for _, i := range d.All() {
+		if i.Zone == zone {
+			d.store(i.withEvacuated(evacuated))
+		}
+	}
+	return true
+}
+
+// EvacuatedZones returns the number of zones that are evacuated.
+func (d *Directory) EvacuatedZones() int {
+	d.changes.Lock()
+	defer d.changes.Unlock()
+	return len(d.evacuated)
+}
+
 // Get returns the instance with an id, or nil.
 func (d *Directory) Get(id string) *Instance { return d.idShard(id).get(id) }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -27,6 +27,9 @@
 	StateSince time.Time
 	// GoneAt is when a lapsed instance becomes gone, by this node's clock.
 	GoneAt time.Time
+	// Evacuated is set while the operator evacuates the instance's zone. The directory
+	// sets it.
+	Evacuated bool
 	// Revision is the platform's revision of the entry.
 	Revision uint64
 }
@@ -42,7 +45,7 @@
 // Serves reports whether the instance may get new calls at now.
 func (i *Instance) Serves(now time.Time) bool {
 	s := i.StateAt(now)
-	return s == Ready || s == Lapsed
+	return !i.Evacuated && (s == Ready || s == Lapsed)
 }
 
 // asDraining returns a copy in state Draining.
@@ -52,6 +55,16 @@
 	return &c
 }
 
+// withEvacuated returns the instance with the given value of Evacuated.
+func (i *Instance) withEvacuated(evacuated bool) *Instance {
+	if i.Evacuated == evacuated {
+		return i
+	}
+	c := *i
+	c.Evacuated = evacuated
+	return &c
+}
+
 // asGone returns a copy in state Gone, with StateSince unchanged.
 func (i *Instance) asGone() *Instance {
 	c := *i
--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -72,13 +72,16 @@
 	var last *result
 	reached := 0
 	for attempt := 1; attempt <= maxAttemptsPerCall; attempt++ {
-		choice, ok := s.chooser.Choose(time.Now(), placement.Query{
+		now := time.Now()
+		query := placement.Query{
 			Candidates: s.cfg.Directory.Service(q.service.Selector), Zone: s.cfg.Zone, Region: s.cfg.Region, LocalAddr: s.cfg.UpstreamAddr,
-			Order: q.rank.Order, Target: time.Until(q.due), RequestBytes: len(q.body), ResponseBytes: q.responseBytes, Exclude: tried, Rand: q.rng,
-		})
+			AllowedRegions: s.currentRegions(q), ColdCallsPerSecond: q.service.ColdCallsPerSecond,
+			Order: q.rank.Order, Target: q.due.Sub(now), RequestBytes: len(q.body), ResponseBytes: q.responseBytes, Exclude: tried, Rand: q.rng,
+		}
+		choice, ok := s.chooser.Choose(now, query)
 		if !ok {
 			if last == nil {
-				last = notRun(ReasonNoUpstream, q.service.Name)
+				last = noUpstream(now, q, &query)
 			}
 			return last, attempt - 1
 		}
@@ -192,7 +195,7 @@
 		return placement.ConnectionBroken
 	}
 	switch res.reason {
-	case ReasonQuarantined, ReasonSuspectRunning:
+	case ReasonQuarantined, ReasonSuspectRunning, ReasonRegionForbidden:
 		// It says nothing about the instance either.
 		return placement.Canceled
 	case ReasonShed:
--- a/internal/mesh/header_names.go
+++ b/internal/mesh/header_names.go
@@ -20,6 +20,9 @@
 	CallLimit string
 	// Leaving is set on all responses of an upstream that is leaving.
 	Leaving string
+	// ColdRemaining holds, in an upstream's health responses, how many milliseconds it
+	// remains cold.
+	ColdRemaining string
 	// CallerService names the service on whose VM a request originated.
 	CallerService string
 }
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -77,6 +77,8 @@
 	switch {
 	case self == nil || self.ID != targetID:
 		return nil, notRun(ReasonTargetGone, targetID)
+	case self.Evacuated:
+		return nil, evacuated("the zone of " + targetID + " is evacuated")
 	case !self.Serves(now):
 		return nil, notRun(ReasonLeaving, targetID)
 	case now.UnixNano() < s.downUntil.Load():
@@ -93,7 +95,7 @@
 }
 
 // updateLimits applies the slots that the upstream announces, the limit that it
-// names, and the ranks and the connection limit of the current configuration
+// names or that holds while it is cold, and the ranks and the connection limit of the current configuration
 // version.
 func (s *Server) updateLimits(self *instance.Instance) {
 	snap := s.cfg.Store.Current()
@@ -103,6 +105,7 @@
 	limits := admission.Limits{Slots: self.Slots, Ranks: snap.Document.Ranks(), CallsPerSecond: s.callLimit.Get(self)}
 	if service, ok := snap.Document.Service(s.cfg.Service); ok {
 		limits.Connections = service.Connections
+		limits.CallsPerSecond = s.callsPerSecond(self, service)
 	}
 	s.limiter.SetLimits(limits)
 }
--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -42,6 +42,9 @@
 	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromNode(q.deadline, q.idempotent()) {
 		return notRun(ReasonLeaving, "the node stops before the call's deadline")
 	}
+	if refused := s.refuseForeignRegion(r); refused != nil {
+		return refused
+	}
 	if refused := s.receiveBody(ctx, cancel, q, r, targetID); refused != nil {
 		return refused
 	}
--- a/internal/mesh/reason.go
+++ b/internal/mesh/reason.go
@@ -15,6 +15,12 @@
 	ReasonNoUpstream Reason = "no-upstream"
 	// ReasonTargetGone: the target is no longer the instance beside the node.
 	ReasonTargetGone Reason = "target-gone"
+	// ReasonRegionForbidden: the call's route does not allow the regions of the usable
+	// instances.
+	ReasonRegionForbidden Reason = "region-forbidden"
+	// ReasonEvacuated: the operator evacuates the zone of the target, or of all usable
+	// instances.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonOverloaded: the queue of the upstream is full.
 	ReasonOverloaded Reason = "overloaded"
 	// ReasonTooLate: because of the queue, the call was not expected to finish in
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -16,9 +16,10 @@
 type request struct {
 	id     string
 	method string
-	target string
-	host   string
-	header http.Header
+	// target is the path with the query, path the decoded path by which routes match.
+	target, path string
+	host         string
+	header       http.Header
 	// callerService is the service on whose VM the call began.
 	callerService string
 	body          []byte
@@ -50,7 +51,7 @@
 // newRequest decodes what requests from callers and from nodes have in common.
 func newRequest(r *http.Request, names HeaderNames) *request {
 	return &request{
-		id: r.Header.Get(names.AttemptID), method: r.Method, target: r.URL.RequestURI(), host: r.Host,
+		id: r.Header.Get(names.AttemptID), method: r.Method, target: r.URL.RequestURI(), path: r.URL.Path, host: r.Host,
 		arrived: time.Now(), length: r.ContentLength, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		caller: disconnect.FromContext(r.Context()),
 	}
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/admission"
 	"github.com/filbertpier/filbertpier/internal/httpconn"
+	"github.com/filbertpier/filbertpier/internal/mesh/coldstart"
 	"github.com/filbertpier/filbertpier/internal/mesh/notice"
 	"github.com/filbertpier/filbertpier/internal/mesh/probe"
 	"github.com/filbertpier/filbertpier/internal/mesh/stopping"
@@ -50,6 +51,9 @@
 	misdirected notice.Misdirection
 	// callLimit is the limit that the upstream's last response named.
 	callLimit notice.CallLimit
+	// coldStart follows whether the upstream is cold, by its health endpoint.
+	coldStart *coldstart.Tracker
+	health    *coldstart.HealthClient
 }
 
 // NewServer returns a server; the caller must start Run.
@@ -64,6 +68,8 @@
 		responseSizes: placement.NewMeanSizes(),
 		link:          uplink.NewLink(float64(cfg.LinkBytesPerSecond)),
 		inbound:       uplink.NewLink(float64(cfg.LinkBytesPerSecond)),
+		coldStart:     coldstart.NewTracker(time.Now()),
+		health:        coldstart.NewHealthClient(cfg.UpstreamAddr, cfg.LocalIP, cfg.HeaderNames.ColdRemaining),
 		upstream: httpconn.NewPool(httpconn.Options{
 			IdleTimeout: upstreamIdleTimeout, MaxIdle: 64, DialTimeout: dialTimeout, TCPUserTimeout: upstreamTCPUserTimeout,
 			EchoHeader: cfg.HeaderNames.AttemptID, LocalIP: cfg.LocalIP,
@@ -95,6 +101,7 @@
 	defer ticker.Stop()
 	defer s.endBackground()
 	go s.crashGuard.shareQuarantined(s.background)
+	go s.watchColdStart(s.background)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/mesh/upstream_exchange.go
+++ b/internal/mesh/upstream_exchange.go
@@ -64,6 +64,7 @@
 	if errors.As(err, &dial) {
 		if ctx.Err() == nil {
 			s.downUntil.Store(time.Now().Add(downBackoff).UnixNano())
+			s.coldStart.ObserveLost(time.Now())
 		}
 		return notRun(ReasonUnreachable, err.Error())
 	}
--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -67,7 +67,7 @@
 	sameRegionCost := sameRegionTargetShare * q.Target.Seconds()
 	candidates := 0
 	for _, i := range q.Candidates {
-		if !i.Serves(now) || q.excluded(i.ID) {
+		if !q.permits(now, i) {
 			continue
 		}
 		cost, available := c.assess(now, &q, i)
@@ -105,15 +105,17 @@
 // calls of the rank.
 func (c *Chooser) assess(now time.Time, q *Query, i *instance.Instance) (cost float64, available bool) {
 	serviceTime := c.serviceTimes.get(i.Service, q.Order)
+	coldCallsPerSecond := 0.0
 	if now.Before(i.ColdUntil) {
 		serviceTime *= coldFactor
+		coldCallsPerSecond = q.ColdCallsPerSecond
 	}
 	var busyFor time.Duration
 	c.shard(i.ID).update(i.ID, func(s *instanceStats) {
 		if !s.observed {
 			serviceTime *= unobservedFactor
 		}
-		cost = s.expectedTime(now, q.Order, i.Slots, serviceTime)
+		cost = s.expectedTime(now, q.Order, i.Slots, serviceTime, coldCallsPerSecond)
 		available = !s.nodeDown && !now.Before(s.ejectedUntil)
 		if i.Addr != q.LocalAddr {
 			cost += s.linkTime(now, q.RequestBytes, s.load.ReceiveBacklog) + s.linkTime(now, q.ResponseBytes, s.load.LinkBacklog)
--- a/internal/placement/instance_stats.go
+++ b/internal/placement/instance_stats.go
@@ -122,12 +122,12 @@
 // expectedTime returns the expected time in seconds from the arrival of a call
 // at the instance's node to the response, including the expected time lost by
 // failed attempts. The argument serviceTime is used for a rank class that has no
-// observation yet.
-func (s *instanceStats) expectedTime(now time.Time, order, slots int, serviceTime float64) float64 {
+// observation yet; coldCallsPerSecond is the limit of a cold instance, or zero.
+func (s *instanceStats) expectedTime(now time.Time, order, slots int, serviceTime, coldCallsPerSecond float64) float64 {
 	if a := &s.serviceTime[rankClass(order)]; a.initialized {
 		serviceTime = a.mean
 	}
-	queueTime := s.queueTime(now, s.usableSlots(max(slots, 1), serviceTime), serviceTime)
+	queueTime := s.queueTime(now, s.usableSlots(max(slots, 1), serviceTime, coldCallsPerSecond), serviceTime)
 	failures := min(s.failureShareAt(now), 0.9)
 	return serviceTime + queueTime + failures/(1-failures)*failureCost.Seconds()
 }
@@ -150,12 +150,17 @@
 }
 
 // usableSlots returns how many slots calls of the given service time can occupy
-// on average under the limit of calls per second that the instance reported.
-func (s *instanceStats) usableSlots(slots int, serviceTime float64) float64 {
-	if s.load.CallsPerSecond <= 0 {
+// on average under the limit of calls per second that the instance reported or, if it
+// is lower, that of its cold start.
+func (s *instanceStats) usableSlots(slots int, serviceTime, coldCallsPerSecond float64) float64 {
+	limit := s.load.CallsPerSecond
+	if coldCallsPerSecond > 0 && (limit <= 0 || coldCallsPerSecond < limit) {
+		limit = coldCallsPerSecond
+	}
+	if limit <= 0 {
 		return float64(slots)
 	}
-	return min(float64(slots), max(s.load.CallsPerSecond*serviceTime, minUsableSlots))
+	return min(float64(slots), max(limit*serviceTime, minUsableSlots))
 }
 
 // decay returns the weight of an observation of the given age, 1 for a new one.
--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/instance"
 )
 
@@ -14,6 +15,11 @@
 	Zone, Region string
 	// LocalAddr is the address of the instance on the sending node's VM.
 	LocalAddr string
+	// AllowedRegions holds the regions in which the call may run.
+	AllowedRegions config.RegionSet
+	// ColdCallsPerSecond is the number of calls per second that a cold instance takes
+	// from all senders together; zero if unlimited.
+	ColdCallsPerSecond float64
 	// Order is the position of the call's rank, 0 for the most urgent.
 	Order int
 	// Target is the time that remains until the response loses worth. At zero or
@@ -28,6 +34,11 @@
 	Rand *rand.Rand
 }
 
+// permits reports whether the call may be sent to an instance at all.
+func (q *Query) permits(now time.Time, i *instance.Instance) bool {
+	return i.Serves(now) && q.AllowedRegions.Allows(i.Region) && !q.excluded(i.ID)
+}
+
 func (q *Query) excluded(id string) bool {
 	for _, e := range q.Exclude {
 		if e == id {
--- a/internal/routing/candidate_set.go
+++ b/internal/routing/candidate_set.go
@@ -13,6 +13,12 @@
 	total         int
 }
 
+// addForbidden counts an upstream in a region that the call may not use.
+func (c *candidateSet) addForbidden() {
+	c.total++
+	c.skipped.RegionForbidden++
+}
+
 func (c *candidateSet) add(scope int, a assessment, rng *rand.Rand) {
 	c.total++
 	c.skipped.add(a.state)
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -29,6 +29,10 @@
 	all := q.View.Service(q.Service)
 	for i := range all {
 		m := &all[i]
+		if !q.AllowedRegions.Allows(m.Region) {
+			set.addForbidden()
+			continue
+		}
 		set.add(scopeIndex(&q.Self, m), p.assess(now, &q, m), q.Rand)
 	}
 	scope, reason, candidates := p.selectCandidates(now, &q, &set)
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/member"
 )
 
@@ -14,6 +15,8 @@
 	Self member.Member
 	// Service is the service label of the upstreams.
 	Service string
+	// AllowedRegions holds the regions in which the call may run.
+	AllowedRegions config.RegionSet
 	// Exclude holds the VMs that the call has already tried.
 	Exclude map[string]bool
 	// Order is the position of the call's rank, 0 for the most urgent. Refusals
--- a/internal/routing/skip_counts.go
+++ b/internal/routing/skip_counts.go
@@ -14,6 +14,8 @@
 	Excluded int
 	// Joining members have no running process yet.
 	Joining int
+	// RegionForbidden upstreams are in regions that the call's route does not allow.
+	RegionForbidden int
 }
 
 func (c *SkipCounts) add(s state) {
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -31,7 +31,7 @@
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
-var headerNames = mesh.HeaderNames{AttemptID: "Id", TimeLeft: "Left", Seal: "Seal", ExpectedInstance: "Want", NotRun: "Not-Run", CallLimit: "Limit", Leaving: "Leaving", CallerService: "Caller"}
+var headerNames = mesh.HeaderNames{AttemptID: "Id", TimeLeft: "Left", Seal: "Seal", ExpectedInstance: "Want", NotRun: "Not-Run", CallLimit: "Limit", Leaving: "Leaving", CallerService: "Caller", ColdRemaining: "Cold"}
 
 // store is an in-memory stand-in for the platform's store.
 type store struct {
@@ -112,8 +112,8 @@
 	Body   config.SectionBody
 }
 
-// decoder implements feed.Decoder: items under up/ are instances, others are
-// versions.
+// decoder implements feed.Decoder: items under up/ are instances, those under
+// evacuate/ evacuated zones, others are versions.
 type decoder struct{}
 
 func (decoder) Decode(now time.Time, item replica.Item) (feed.Change, error) {
@@ -128,6 +128,9 @@
 		i.StateSince, i.Revision = now, item.Revision
 		return feed.Change{Instance: i}, nil
 	}
+	if zone, ok := strings.CutPrefix(item.Key, "evacuate/"); ok {
+		return feed.Change{Evacuation: &feed.Evacuation{Zone: zone, Active: !item.Deleted}}, nil
+	}
 	var v version
 	if err := json.Unmarshal(item.Value, &v); err != nil {
 		return feed.Change{}, err
@@ -170,6 +173,7 @@
 	ip, id   string
 	service  string
 	zone     string
+	region   string
 	source   *source
 	decoder  feed.Decoder
 	node     *sidecar.Node
@@ -213,7 +217,7 @@
 func (f *fleet) add(service, zone string, handler http.HandlerFunc) *vm {
 	f.t.Helper()
 	n := len(f.vms) + 2
-	v := &vm{fleet: f, ip: testIP(n), id: fmt.Sprintf("i%d", n), service: service, zone: zone, source: &source{store: f.store}, decoder: decoder{}}
+	v := &vm{fleet: f, ip: testIP(n), id: fmt.Sprintf("i%d", n), service: service, zone: zone, region: regionOf(zone), source: &source{store: f.store}, decoder: decoder{}}
 	f.vms = append(f.vms, v)
 	l, err := net.Listen("tcp", v.addr(0))
 	if err != nil {
@@ -239,13 +243,21 @@
 	})
 	v.publish(instance.Ready)
 	v.settings = &settings.Sidecar{
-		VM: "vm" + strconv.Itoa(n), Zone: zone, Region: "r", Service: service, Upstream: v.addr(0), LocalIP: v.ip,
+		VM: "vm" + strconv.Itoa(n), Zone: zone, Region: v.region, Service: service, Upstream: v.addr(0), LocalIP: v.ip,
 		Listen: settings.SidecarListen{Callers: v.addr(1), Nodes: v.addr(2), Control: v.addr(3), Ready: v.addr(4)},
 		Seeds:  []string{f.vms[0].addr(3)}, StopGracePeriod: 3 * time.Second,
 	}
 	return v
 }
 
+// regionOf returns the region of a zone: what follows an "@" in its name, or "r".
+func regionOf(zone string) string {
+	if _, region, ok := strings.Cut(zone, "@"); ok {
+		return region
+	}
+	return "r"
+}
+
 // addr returns an address of the VM by the offset of its port: 0 is the
 // upstream, 1 to 4 are the node's ports for callers, other nodes, control and
 // readiness.
@@ -255,7 +267,7 @@
 
 // publish puts the upstream's entry with the given state into the store.
 func (v *vm) publish(s instance.State) {
-	v.fleet.store.put("up/"+v.id, instance.Instance{ID: v.id, Service: v.service, Addr: v.addr(0), Zone: v.zone, Region: "r", Slots: 4, State: s})
+	v.fleet.store.put("up/"+v.id, instance.Instance{ID: v.id, Service: v.service, Addr: v.addr(0), Zone: v.zone, Region: v.region, Slots: 4, State: s})
 }
 
 func (v *vm) start() *vm {
