intake: bound what clients make a node hold

Cause: nothing bounded the memory of heads and bodies over all requests, and nothing the number of connections. 200 connections of 1 MiB bodies that stop a byte short took fpsidecar to 248 MB, as many heads of short fields to 349 MB, responses that are not read to 141 MB, at a limit of 96 MB; 600 idle connections took 616 descriptors at a limit of 500. fpnode reached 213 MB with heads. Change: package intake has one account of memory and one of connections for all HTTP listeners of a process, with room that callers cannot take. Memory is charged before it is used; without room, the client that is furthest behind the slowest accepted pace is closed, or the call is refused as not run. A response that finds no memory is passed on as it arrives. Settings: memoryBytes and maxDescriptors.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: build format vet staticcheck test soak fault-soak demo bench-call bench-flood bench-convergence bench-capacity plots clean
+.PHONY: build format vet staticcheck test crowd soak fault-soak demo bench-call bench-flood bench-convergence bench-capacity plots clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./tools/...
@@ -22,8 +22,16 @@
 
 test: format vet staticcheck build
 	go test -race -timeout 6m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(MAKE) crowd
 	@if [ -f KNOWN-RED.txt ]; then cat KNOWN-RED.txt; fi
 
+# crowd attacks nodes with crowds of misbehaving clients, one at a time and after all
+# other tests, since it measures the memory of the nodes.
+crowd:
+	go vet -tags crowd ./tests/...
+	go tool staticcheck -tags crowd ./tests/...
+	go test -tags crowd -count=1 -timeout 20m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./tests/crowd/
+
 # soak makes long random runs of the control logic in virtual time. SEED=0 picks
 # a seed; rapid prints the one that failed.
 SEED := 0
--- a/internal/dataplane/relay/body.go
+++ b/internal/dataplane/relay/body.go
@@ -29,17 +29,21 @@
 	current *bodyStream
 }
 
+// BufferSize returns how many bytes ReadBody allocates for a request's body.
+func BufferSize(r *http.Request) int64 {
+	if r.ContentLength >= 0 {
+		return min(r.ContentLength, maxReplayBytes)
+	}
+	return maxReplayBytes
+}
+
 // ReadBody reads up to maxReplayBytes of a request's body into the buffer. Errors
 // are of type *call.Problem.
 func ReadBody(r *http.Request) (*Body, error) {
 	if r.ContentLength == 0 {
 		return &Body{Complete: true}, nil
 	}
-	size := int64(maxReplayBytes)
-	if r.ContentLength > 0 {
-		size = min(size, r.ContentLength)
-	}
-	head := make([]byte, size)
+	head := make([]byte, BufferSize(r))
 	n, err := io.ReadFull(r.Body, head)
 	b := &Body{Buffered: head[:n], remaining: r.Body, Length: r.ContentLength}
 	switch {
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -170,7 +170,7 @@
 		c.Caller = disconnect.FromContext(x.r.Context())
 	}
 	s.cfg.Invariants.Check(!x.snap.ID.Less(required), "served-version", "serving %s, required %s", x.snap.ID, required)
-	if x.body, err = relay.ReadBody(x.r); err != nil {
+	if err = x.readBody(); err != nil {
 		return err
 	}
 	if !x.body.Complete {
--- a/internal/mesh/caller_request.go
+++ b/internal/mesh/caller_request.go
@@ -1,7 +1,7 @@
 package mesh
 
 import (
-	"io"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +10,7 @@
 	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
+	"github.com/filbertpier/filbertpier/internal/intake"
 )
 
 // readCallerRequest decodes a caller's request and matches its route. The
@@ -79,14 +80,24 @@
 
 // bufferBody buffers the request body. If the body exceeds maxBufferedBytes,
 // only its beginning is buffered and the remainder stays in bodyTail. The result
-// is not nil if the body cannot be read.
+// is not nil if the body cannot be read or there is no memory for it.
 func (q *request) bufferBody(r *http.Request) *result {
 	q.header.Del("Content-Length")
 	if r.ContentLength == 0 || r.Body == nil {
 		return nil
 	}
-	buffered, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes+1))
-	if err != nil {
+	var buffered []byte
+	err := q.client.ReadBody(func() (err error) {
+		buffered, err = readCharged(r.Body, r.ContentLength, maxBufferedBytes+1, q.client.Charge)
+		return err
+	})
+	var noMemory *intake.RefusedError
+	switch {
+	case errors.As(err, &noMemory):
+		res := notRun(ReasonNoMemory, err.Error())
+		res.expectedWait = noMemoryRetryAfter
+		return res
+	case err != nil:
 		return notRun(ReasonBodyUnreadable, err.Error())
 	}
 	q.body = buffered
--- a/internal/mesh/limits.go
+++ b/internal/mesh/limits.go
@@ -25,6 +25,10 @@
 	// startupRetryAfter is the Retry-After of a node that has no configuration
 	// version yet, without its random part.
 	startupRetryAfter = 300 * time.Millisecond
+	// noMemoryRetryAfter is the Retry-After of a call whose body found no memory,
+	// without its random part. Bodies that arrive in full leave within their calls'
+	// time limits.
+	noMemoryRetryAfter = 500 * time.Millisecond
 	// minAttemptTime is the time that must be left until the deadline for
 	// another attempt.
 	minAttemptTime = 5 * time.Millisecond
--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -102,5 +102,6 @@
 		return
 	}
 	s.encodeResult(w.Header(), res)
+	closeIfBodyUnread(w, res)
 	writeEmpty(w, http.StatusServiceUnavailable)
 }
--- a/internal/mesh/reason.go
+++ b/internal/mesh/reason.go
@@ -49,6 +49,8 @@
 	ReasonBodyTooLarge Reason = "body-too-large"
 	// ReasonBodyUnreadable: the request body could not be read.
 	ReasonBodyUnreadable Reason = "body-unreadable"
+	// ReasonNoMemory: there is no memory for the request body.
+	ReasonNoMemory Reason = "no-memory"
 	// ReasonRetryBudget: the retry budget is exhausted. Currently unused.
 	ReasonRetryBudget Reason = "retry-budget"
 	// ReasonLinkBusy: the VM's link is too busy to send the response in time.
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -9,6 +9,7 @@
 	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/httpconn"
+	"github.com/filbertpier/filbertpier/internal/intake"
 	"github.com/filbertpier/filbertpier/internal/uplink"
 )
 
@@ -44,8 +45,10 @@
 	retrying bool
 	rng      *rand.Rand
 	// caller is the connection on which the call arrived, from a caller or from
-	// another node.
+	// another node. The memory that the call takes is charged to client, the same
+	// connection.
 	caller *disconnect.Conn
+	client *intake.Conn
 }
 
 // newRequest decodes what requests from callers and from nodes have in common.
@@ -53,7 +56,7 @@
 	return &request{
 		id: r.Header.Get(names.AttemptID), method: r.Method, target: r.URL.RequestURI(), path: r.URL.Path, host: r.Host,
 		arrived: time.Now(), length: r.ContentLength, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		caller: disconnect.FromContext(r.Context()),
+		caller: disconnect.FromContext(r.Context()), client: intake.FromContext(r.Context()),
 	}
 }
 
--- a/internal/mesh/respond.go
+++ b/internal/mesh/respond.go
@@ -29,9 +29,18 @@
 	if res.kind == ResultNotRun {
 		w.Header()["Retry-After"] = []string{retryAfter(res)}
 	}
+	closeIfBodyUnread(w, res)
 	writeEmpty(w, callerStatus(res))
 }
 
+// closeIfBodyUnread closes the connection after the refusal of a call whose body found
+// no memory, instead of reading the rest of it.
+func closeIfBodyUnread(w http.ResponseWriter, res *result) {
+	if res.reason == ReasonNoMemory {
+		w.Header()["Connection"] = []string{"close"}
+	}
+}
+
 // callerStatus returns the HTTP status for the caller. 503 guarantees that the
 // call has not run and will not run; 502 and 504 guarantee nothing.
 func callerStatus(res *result) int {
--- a/internal/mesh/upstream_exchange.go
+++ b/internal/mesh/upstream_exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/httpconn"
 	"github.com/filbertpier/filbertpier/internal/instance"
+	"github.com/filbertpier/filbertpier/internal/intake"
 )
 
 // sendToUpstream sends an admitted call to the upstream, and a second time if
@@ -130,7 +130,7 @@
 }
 
 // bufferResponse reads a response body into memory, or only its beginning if it
-// is too large.
+// is too large or there is no memory for it.
 func (s *Server) bufferResponse(ctx context.Context, q *request, resp *httpconn.Response) *result {
 	res := &result{kind: ResultAnswered, status: resp.Status, header: resp.Header, length: resp.Length}
 	if q.method == http.MethodHead {
@@ -139,8 +139,14 @@
 		_ = resp.Body.Close()
 		return res
 	}
-	body, err := readBuffered(resp)
+	body, err := readCharged(resp.Body, resp.Length, maxBufferedBytes+1, q.client.Charge)
 	res.body = body
+	var noMemory *intake.RefusedError
+	if errors.As(err, &noMemory) {
+		// Without memory the response is passed on as it arrives.
+		res.bodyTail = resp.Body
+		return res
+	}
 	if err != nil {
 		_ = resp.Body.Close()
 		return broken(brokenReason(ctx, err), err.Error())
@@ -153,17 +159,3 @@
 	_ = resp.Body.Close()
 	return res
 }
-
-// readBuffered reads a body up to one byte beyond maxBufferedBytes.
-func readBuffered(resp *httpconn.Response) ([]byte, error) {
-	if resp.Length >= 0 && resp.Length <= maxBufferedBytes {
-		body := make([]byte, resp.Length)
-		_, err := io.ReadFull(resp.Body, body)
-		if err == nil {
-			// Reading up to EOF returns the connection to the pool.
-			_, err = io.Copy(io.Discard, resp.Body)
-		}
-		return body, err
-	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/filbertpier/filbertpier/internal/control"
 	"github.com/filbertpier/filbertpier/internal/dataplane"
 	"github.com/filbertpier/filbertpier/internal/disconnect"
+	"github.com/filbertpier/filbertpier/internal/intake"
 	"github.com/filbertpier/filbertpier/internal/listener"
 	"github.com/filbertpier/filbertpier/internal/member"
 	"github.com/filbertpier/filbertpier/internal/message"
@@ -55,7 +56,10 @@
 	shutdownOnce sync.Once
 	conns        *connTracker
 	callServer   *http.Server
-	adminServer  *http.Server
+	// guard bounds what clients make the process hold; stopGuard ends its Run.
+	guard       *intake.Guard
+	stopGuard   context.CancelFunc
+	adminServer *http.Server
 }
 
 // Start opens the node's ports and begins to join the fleet. Its errors are
@@ -66,6 +70,9 @@
 		return nil, err
 	}
 	n := &Node{settings: s, log: log, metrics: telemetry.NewMetrics(), conns: newConnTracker()}
+	n.guard = intake.NewGuard(intake.Options{
+		MemoryBytes: s.MemoryBytes, MaxDescriptors: s.MaxDescriptors, Metrics: intake.NewMetrics(n.metrics.Registry), Log: log.Named("intake"),
+	})
 	n.invariants = telemetry.NewInvariants(n.metrics, s.FatalInvariants)
 	boot := uint64(time.Now().UnixMilli())
 	n.agent = control.New(control.Config{
@@ -97,6 +104,9 @@
 		return nil, err
 	}
 	n.runtime.Start(n.transport)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stopGuard = cancel
+	go n.guard.Run(ctx)
 	return n, nil
 }
 
@@ -113,7 +123,7 @@
 	if n.listener, err = listen(n.settings.Listen.Calls); err != nil {
 		return err
 	}
-	n.callServer = serve(n.listener, n.dataPlane, n.conns.setState)
+	n.callServer = serve(n.guard.Listener(n.listener, intake.ClassCaller), n.guard.Handler(n.dataPlane), n.conns.setState)
 	if n.adminServer, err = n.serveAdmin(); err != nil {
 		n.listener.shutdown()
 		_ = n.callServer.Close()
@@ -132,11 +142,17 @@
 
 func serve(l net.Listener, h http.Handler, onConnState func(net.Conn, http.ConnState)) *http.Server {
 	s := &http.Server{Handler: h, ConnState: onConnState, ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnContext: disconnect.ConnContext}
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: connContext}
 	go func() { _ = s.Serve(l) }()
 	return s
 }
 
+// connContext passes a client's connection on to its calls, which charge memory to it
+// and see when the client leaves.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return disconnect.ConnContext(intake.ConnContext(ctx, c), c)
+}
+
 // Stop announces that the node leaves, lets calls in flight finish within the
 // drain time and closes the node. Calls that arrive during leaveDelay are served
 // and their connections are closed after the response, so that few callers
@@ -161,6 +177,7 @@
 // Close stops the node at once and aborts the calls in flight.
 func (n *Node) Close() {
 	n.shutdownOnce.Do(n.listener.shutdown)
+	n.stopGuard()
 	_ = n.callServer.Close()
 	n.dataPlane.Close()
 	_ = n.adminServer.Close()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -33,6 +33,10 @@
 	// DrainMs limits how long a graceful stop waits for calls in flight, in
 	// milliseconds; 0 means 30,000.
 	DrainMs int64 `json:"drainMs" validate:"min=0,max=600000"`
+	// MemoryBytes is the node's memory limit; 0 means 256 MiB.
+	MemoryBytes int64 `json:"memoryBytes" validate:"min=0"`
+	// MaxDescriptors is the node's limit of file descriptors; 0 means 4,096.
+	MaxDescriptors int `json:"maxDescriptors" validate:"min=0"`
 	// Log configures the node's log.
 	Log Log `json:"log"`
 	// FatalInvariants makes a violated invariant end the process; for tests.
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -38,8 +38,10 @@
 	StopGracePeriod time.Duration `json:"stopTime" validate:"min=1000000000"`
 	// LinkBytesPerSecond is the bandwidth of the VM's link; zero if unknown.
 	LinkBytesPerSecond int `json:"linkBytesPerSecond" validate:"min=0"`
-	// MemoryBytes is the node's memory limit; zero if it has none.
+	// MemoryBytes is the node's memory limit; 0 means 256 MiB.
 	MemoryBytes int64 `json:"memoryBytes" validate:"min=0"`
+	// MaxDescriptors is the node's limit of file descriptors; 0 means 4,096.
+	MaxDescriptors int `json:"maxDescriptors" validate:"min=0"`
 }
 
 // Validate returns an *InvalidError with all faults, or nil. The faults have no
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -13,6 +13,7 @@
 	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/feed"
 	"github.com/filbertpier/filbertpier/internal/instance"
+	"github.com/filbertpier/filbertpier/internal/intake"
 	"github.com/filbertpier/filbertpier/internal/listener"
 	"github.com/filbertpier/filbertpier/internal/mesh"
 	"github.com/filbertpier/filbertpier/internal/quarantine"
@@ -33,8 +34,10 @@
 	// peerServer lets other nodes read the published items from this node.
 	peerServer *peers.Server
 	requests   *requestTracker
-	servers    []*http.Server
-	cancel     context.CancelFunc
+	// guard bounds what clients make the process hold.
+	guard   *intake.Guard
+	servers []*http.Server
+	cancel  context.CancelFunc
 }
 
 // Start opens the node's ports and begins to read the published items. Its
@@ -42,6 +45,9 @@
 func Start(s *settings.Sidecar, a Adapter, log hclog.Logger) (*Node, error) {
 	n := &Node{settings: s, log: log, requests: newRequestTracker()}
 	registry := prometheus.NewRegistry()
+	n.guard = intake.NewGuard(intake.Options{
+		MemoryBytes: s.MemoryBytes, MaxDescriptors: s.MaxDescriptors, Metrics: intake.NewMetrics(registry), Log: log.Named("intake"),
+	})
 	store, directory, guard := snapshot.NewStore(), instance.NewDirectory(), quarantine.NewGuard()
 	applier := feed.NewApplier(a.Decoder, store, directory, log.Named("feed"))
 	table := replica.NewTable(applier.Apply)
@@ -75,6 +81,7 @@
 	n.cancel = cancel
 	go n.reader.Run(ctx)
 	go n.server.Run(ctx)
+	go n.guard.Run(ctx)
 	return n, nil
 }
 
@@ -90,34 +97,40 @@
 		return err
 	}
 	l := n.settings.Listen
-	if err := n.serve(l.Nodes, n.server.PeerHandler(), mesh.PeerIdleTimeout); err != nil {
+	if err := n.serve(l.Nodes, n.server.PeerHandler(), intake.ClassNode, mesh.PeerIdleTimeout); err != nil {
 		return err
 	}
-	if err := n.serve(l.Callers, n.server.CallerHandler(), mesh.CallerIdleTimeout); err != nil {
+	if err := n.serve(l.Callers, n.server.CallerHandler(), intake.ClassCaller, mesh.CallerIdleTimeout); err != nil {
 		return err
 	}
 	if l.Metrics != "" {
-		if err := n.serve(l.Metrics, metrics, mesh.CallerIdleTimeout); err != nil {
+		if err := n.serve(l.Metrics, metrics, intake.ClassOperator, mesh.CallerIdleTimeout); err != nil {
 			return err
 		}
 	}
-	return n.serve(l.Ready, ready, mesh.CallerIdleTimeout)
+	return n.serve(l.Ready, ready, intake.ClassOperator, mesh.CallerIdleTimeout)
 }
 
-func (n *Node) serve(addr string, h http.Handler, idleTimeout time.Duration) error {
+func (n *Node) serve(addr string, h http.Handler, clients intake.Class, idleTimeout time.Duration) error {
 	l, err := listenConfig.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return &listener.Error{Addr: addr, Err: err}
 	}
 	s := &http.Server{
-		Addr: addr, Handler: n.requests.track(h), ConnContext: disconnect.ConnContext, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mesh.MaxHeaderBytes,
+		Addr: addr, Handler: n.guard.Handler(n.requests.track(h)), ConnContext: connContext, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mesh.MaxHeaderBytes,
 		ErrorLog: n.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	n.servers = append(n.servers, s)
-	go func() { _ = s.Serve(l) }()
+	go func() { _ = s.Serve(n.guard.Listener(l, clients)) }()
 	return nil
 }
 
+// connContext passes a client's connection on to its calls, which charge memory to it
+// and see when the client leaves.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return disconnect.ConnContext(intake.ConnContext(ctx, c), c)
+}
+
 // listenConfig disables TCP keep-alive probes: the server's idle timeout closes
 // the connections of vanished clients, and enabling the probes costs four
 // system calls per connection.
--- a/tools/fleet/node_settings.go
+++ b/tools/fleet/node_settings.go
@@ -19,7 +19,8 @@
 			Operations: []string{base64.StdEncoding.EncodeToString(f.publisher.Operations)},
 		},
 		JoinTimeoutMs: f.spec.JoinTimeout.Milliseconds(),
-		Log:           settings.Log{Level: f.spec.LogLevel, DecisionsEvery: f.spec.DecisionsEvery},
+		MemoryBytes:   f.spec.NodeMemoryBytes, MaxDescriptors: f.spec.NodeMaxDescriptors,
+		Log: settings.Log{Level: f.spec.LogLevel, DecisionsEvery: f.spec.DecisionsEvery},
 	}
 	if f.usesLink() {
 		s.Advertise = settings.Advertise{Calls: v.linkAddr(callPort), Peers: v.linkAddr(peerPort)}
--- a/tools/fleet/spec.go
+++ b/tools/fleet/spec.go
@@ -28,4 +28,7 @@
 	LogLevel       string
 	DecisionsEvery uint64
 	JoinTimeout    time.Duration
+	// NodeMemoryBytes and NodeMaxDescriptors limit each node; zero selects the defaults.
+	NodeMemoryBytes    int64
+	NodeMaxDescriptors int
 }
