pipeline: serve calls sent ahead on one connection together

Cause: net/http serves one call of a connection at a time. Change: package pipeline splits a connection in front of net/http while a call without a body runs. Each further GET request becomes a connection of its own, up to 8, and responses are written in order. Calls that may run only once wait for their turn.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -75,6 +75,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the underlying connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending direction. The HTTP server does so before it closes a
 // connection whose request it has not read to its end, so that the client gets the
 // response.
--- a/internal/mesh/caller_request.go
+++ b/internal/mesh/caller_request.go
@@ -11,6 +11,7 @@
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
 	"github.com/filbertpier/filbertpier/internal/intake"
+	"github.com/filbertpier/filbertpier/internal/pipeline"
 )
 
 // readCallerRequest decodes a caller's request and matches its route. The
@@ -39,6 +40,9 @@
 	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromCaller(q.arrived, q.deadline) {
 		return q, refuseLeaving(w)
 	}
+	if !route.Idempotent && !pipeline.AwaitTurn(r.Context()) {
+		return q, notRun(ReasonCallerLeft, "the caller left before its earlier calls had ended")
+	}
 	if limit := snap.Document.CallerLimits().MaxBodyBytes; limit > 0 && r.ContentLength > limit {
 		return q, &result{kind: ResultAnswered, reason: ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge}
 	}
--- /dev/null
+++ b/internal/pipeline/conn_key.go
@@ -0,0 +1,29 @@
+package pipeline
+
+import (
+	"context"
+	"net"
+)
+
+// connKey is the context key of a *part.
+type connKey struct{}
+
+// ConnContext returns a context that holds the part of a connection, for
+// http.Server.ConnContext.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	for {
+		if p, ok := c.(*part); ok {
+			return context.WithValue(ctx, connKey{}, p)
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return ctx
+		}
+		c = wrapper.NetConn()
+	}
+}
+
+func fromContext(ctx context.Context) *part {
+	p, _ := ctx.Value(connKey{}).(*part)
+	return p
+}
--- /dev/null
+++ b/internal/pipeline/session.go
@@ -0,0 +1,193 @@
+package pipeline
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// maxParts bounds the requests of a connection that are served at the same time.
+	maxParts = 8
+	// readAheadBytes is the size of a read while a request is served.
+	readAheadBytes = 4 << 10
+)
+
+// session is a connection and the parts into which it is split. It is safe for
+// concurrent use.
+type session struct {
+	net.Conn
+	listener *Listener
+	// left is closed when the client has closed the connection or it has failed.
+	left     chan struct{}
+	leftOnce sync.Once
+	// mu guards the fields below, and the deadline of the connection.
+	mu sync.Mutex
+	// last is the part of the latest request. It alone reads from the connection.
+	last *part
+	// ahead holds bytes that were read and belong to no part yet.
+	ahead []byte
+	// active counts the parts whose response is not complete.
+	active int
+	// changed is closed and replaced when active falls or last changes.
+	changed chan struct{}
+}
+
+func newSession(l *Listener, c net.Conn) *session {
+	return &session{Conn: c, listener: l, left: make(chan struct{}), changed: make(chan struct{})}
+}
+
+// first returns the part that stands for the connection as long as nothing is sent
+// ahead.
+func (s *session) first() *part {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.appendPart(nil)
+	p.boundary = true
+	return p
+}
+
+// appendPart adds a part for a request. The caller holds mu.
+func (s *session) appendPart(head []byte) *part {
+	p := &part{session: s, unread: head, done: make(chan struct{}), expired: make(chan struct{})}
+	if s.last != nil {
+		p.previous = s.last.done
+	}
+	s.last = p
+	s.active++
+	s.notify()
+	// The deadline was that of the part before.
+	_ = s.SetReadDeadline(time.Time{})
+	return p
+}
+
+// notify wakes those that wait for a change. The caller holds mu.
+func (s *session) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// feed adds bytes that were sent ahead and splits off the complete requests among them.
+func (s *session) feed(data []byte) {
+	s.mu.Lock()
+	s.ahead = append(s.ahead, data...)
+	s.mu.Unlock()
+	s.split()
+}
+
+// split delivers parts for the requests that are complete, up to maxParts.
+func (s *session) split() {
+	for {
+		s.mu.Lock()
+		n := 0
+		if s.active < maxParts {
+			n = leadingHead(s.ahead)
+		}
+		if n == 0 {
+			s.mu.Unlock()
+			return
+		}
+		head := s.ahead[:n:n]
+		s.ahead = s.ahead[n:]
+		p := s.appendPart(head)
+		s.mu.Unlock()
+		if !s.listener.deliver(p) {
+			s.leave()
+			return
+		}
+	}
+}
+
+// feedFirst is feed for bytes that come before those which are ahead already.
+func (s *session) feedFirst(data []byte) {
+	s.mu.Lock()
+	s.ahead = append(append([]byte(nil), data...), s.ahead...)
+	s.mu.Unlock()
+	s.split()
+}
+
+// mayReadAhead reports whether a part may read further requests while it is served. It
+// also returns the channel that is closed at the next change.
+func (s *session) mayReadAhead(p *part) (bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	mayGrow := len(s.ahead) < maxHeadBytes && couldBeHead(s.ahead)
+	return s.last == p && s.active < maxParts && mayGrow, s.changed
+}
+
+func (s *session) hasAhead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.ahead) > 0
+}
+
+// expiry returns the channel that is closed while the read deadline of a part has
+// passed.
+func (s *session) expiry(p *part) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return p.expired
+}
+
+// setReadDeadline sets the read deadline of a part. Only that of the last part is a
+// deadline of the connection; for the others it matters only whether it has passed,
+// which is how net/http ends a read during a call.
+func (s *session) setReadDeadline(p *part, t time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wasExpired := p.isExpired
+	p.isExpired = !t.IsZero() && !t.After(time.Now())
+	switch {
+	case p.isExpired && !wasExpired:
+		close(p.expired)
+	case !p.isExpired && wasExpired:
+		p.expired = make(chan struct{})
+	}
+	if s.last != p {
+		return nil
+	}
+	return s.Conn.SetReadDeadline(t)
+}
+
+// finish records that the response of a part is complete.
+func (s *session) finish(p *part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !p.finished {
+		p.finished = true
+		close(p.done)
+		s.active--
+		s.notify()
+	}
+}
+
+// resume records that the last part reads another request after its response.
+func (s *session) resume(p *part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.finished {
+		p.finished, p.done, p.previous = false, make(chan struct{}), nil
+		s.active++
+	}
+}
+
+func (s *session) isLast(p *part) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last == p
+}
+
+// takeAhead moves bytes that were read ahead to p.
+func (s *session) takeAhead(p []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := copy(p, s.ahead)
+	s.ahead = s.ahead[n:]
+	return n
+}
+
+// leave ends the connection for all parts.
+func (s *session) leave() {
+	s.leftOnce.Do(func() { close(s.left) })
+	_ = s.Conn.Close()
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -16,6 +16,7 @@
 	"github.com/filbertpier/filbertpier/internal/intake"
 	"github.com/filbertpier/filbertpier/internal/listener"
 	"github.com/filbertpier/filbertpier/internal/mesh"
+	"github.com/filbertpier/filbertpier/internal/pipeline"
 	"github.com/filbertpier/filbertpier/internal/quarantine"
 	"github.com/filbertpier/filbertpier/internal/quarantine/reports"
 	"github.com/filbertpier/filbertpier/internal/replica"
@@ -116,6 +117,9 @@
 	if err != nil {
 		return &listener.Error{Addr: addr, Err: err}
 	}
+	if clients == intake.ClassCaller {
+		l = pipeline.NewListener(l)
+	}
 	s := &http.Server{
 		Addr: addr, Handler: n.guard.Handler(n.requests.track(h)), ConnContext: connContext, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mesh.MaxHeaderBytes,
 		ErrorLog: n.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
@@ -128,7 +132,7 @@
 // connContext passes a client's connection on to its calls, which charge memory to it
 // and see when the client leaves.
 func connContext(ctx context.Context, c net.Conn) context.Context {
-	return disconnect.ConnContext(intake.ConnContext(ctx, c), c)
+	return disconnect.ConnContext(intake.ConnContext(pipeline.ConnContext(ctx, c), c), c)
 }
 
 // listenConfig disables TCP keep-alive probes: the server's idle timeout closes
