comeback: plan when refused callers return

Cause: callers refused in a flood were told to come back after the lateness of their own call, so many returned at once and were refused again. Change: the caller's node plans returns by service and rank, at half of the rate at which it serves such calls, within a third of the caller's remaining time.

--- a/internal/mesh/limits.go
+++ b/internal/mesh/limits.go
@@ -19,6 +19,9 @@
 	// without its random part.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// returnTimeShare is the share of a caller's remaining time after which it may be told
+	// to come back. The remainder is for its next attempt.
+	returnTimeShare = 1.0 / 3
 	// downBackoff is how long the upstream is considered down after a failed
 	// connection attempt.
 	downBackoff = 200 * time.Millisecond
--- a/internal/mesh/respond.go
+++ b/internal/mesh/respond.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/filbertpier/filbertpier/internal/comeback"
 	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
 )
 
@@ -22,12 +23,15 @@
 	s.cfg.Metrics.Calls.WithLabelValues(rank, outcome, string(res.reason)).Inc()
 	s.cfg.Metrics.CallSeconds.WithLabelValues(rank, outcome).Observe(time.Since(q.arrived).Seconds())
 	s.logCall(q, res, outcome, attempts)
+	if res.kind == ResultAnswered && res.header != nil && res.status < http.StatusInternalServerError {
+		s.comeback.ObserveServed(time.Now(), comeback.Key{Service: q.service.Name, Order: q.rank.Order})
+	}
 	if res.kind == ResultAnswered && res.header != nil {
 		s.writeResponse(ctx, w, res)
 		return
 	}
 	if res.kind == ResultNotRun {
-		w.Header()["Retry-After"] = []string{retryAfter(res)}
+		w.Header()["Retry-After"] = []string{s.retryAfter(q, res)}
 	}
 	closeIfBodyUnread(w, res)
 	writeEmpty(w, callerStatus(res))
@@ -112,18 +116,38 @@
 	w.WriteHeader(status)
 }
 
-// retryAfter returns the Retry-After value in seconds for a refused call: the
-// time until the upstreams are expected to have capacity, plus a random part of
-// up to half of it, so that callers refused together do not return together.
-func retryAfter(res *result) string {
+// retryAfter returns the Retry-After value in seconds for a refused call.
+func (s *Server) retryAfter(q *request, res *result) string {
 	wait := max(res.expectedWait, minRetryAfter)
-	if res.reason != ReasonQuarantined {
+	switch {
+	case res.refusedAsBusy() && q.service != nil:
+		wait = s.planReturn(q, min(wait, maxRetryAfter))
+	case res.reason == ReasonQuarantined:
+		wait += rand.N(wait/2 + 1)
+	default:
 		wait = min(wait, maxRetryAfter)
+		wait += rand.N(wait/2 + 1)
 	}
-	wait += rand.N(wait/2 + 1)
 	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
 }
 
+// planReturn returns when a call that found the upstreams busy may come back: when there
+// is room for it behind those that were told so before, within the time that its caller
+// waits. Without such a time, callers are spread over the later half of it.
+func (s *Server) planReturn(q *request, wait time.Duration) time.Duration {
+	now := time.Now()
+	limit := min(time.Duration(returnTimeShare*float64(q.deadline.Sub(now))), maxRetryAfter)
+	if limit <= wait {
+		return wait + rand.N(wait/2+1)
+	}
+	after, ok := s.comeback.Next(now, comeback.Key{Service: q.service.Name, Order: q.rank.Order}, wait, limit)
+	if !ok {
+		earliest := max(wait, limit/2)
+		return earliest + rand.N(limit-earliest+1)
+	}
+	return after
+}
+
 // contextReason returns the reason for a context that has ended.
 func contextReason(ctx context.Context) Reason {
 	if ctx.Err() == context.DeadlineExceeded {
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/admission"
+	"github.com/filbertpier/filbertpier/internal/comeback"
 	"github.com/filbertpier/filbertpier/internal/httpconn"
 	"github.com/filbertpier/filbertpier/internal/mesh/coldstart"
 	"github.com/filbertpier/filbertpier/internal/mesh/notice"
@@ -20,9 +21,11 @@
 // Server serves calls from callers on the VM and from other nodes. It is safe
 // for concurrent use.
 type Server struct {
-	cfg           Config
-	chooser       *placement.Chooser
-	budgets       *retry.Budgets
+	cfg     Config
+	chooser *placement.Chooser
+	budgets *retry.Budgets
+	// comeback plans when refused callers may come back.
+	comeback      *comeback.Planner
 	limiter       *admission.Limiter
 	upstream      *httpconn.Pool
 	peers         *httpconn.Pool
@@ -62,6 +65,7 @@
 		cfg:           cfg,
 		chooser:       placement.NewChooser(),
 		budgets:       retry.NewBudgetsWithOptions(retry.Options{OutermostReserve: retryReserve, NestedReserve: retryReserve}),
+		comeback:      comeback.NewPlanner(),
 		limiter:       admission.NewLimiter(1),
 		trafficSplits: split.NewChooser(),
 		routeSizes:    placement.NewMeanSizes(),
