placement: another region only for much less waiting

Change: a call leaves its region only if no instance there is fast enough and one elsewhere is expected to take less than half of the time.

--- a/internal/placement/chooser.go
+++ b/internal/placement/chooser.go
@@ -25,6 +25,10 @@
 	// the sender's region is fast enough. Service times vary by a factor of two or
 	// more, so the expected time must stay below half of the target.
 	sameRegionTargetShare = 0.45
+	// otherRegionTimeShare is the share of the expected time in the sender's region that
+	// another region may need to get a call. When all regions are busy, calls that went to
+	// the other one would fill the links and gain nothing.
+	otherRegionTimeShare = 0.5
 	// smallBodyBytes is the size up to which a request body or a response does not
 	// queue for the VM's link.
 	smallBodyBytes = 16 << 10
@@ -54,17 +58,15 @@
 
 func (c *Chooser) shard(id string) *statsShard { return &c.shards[xxhash.Sum64String(id)%statsShards] }
 
-// Choose returns the candidate with the lowest expected time to the response. If
-// candidates in the sender's region are expected to respond well within the
-// target, it returns the fastest of them: a faster response from another region
-// is worth no more, and links between regions are narrow. If no candidate is
-// available, it returns a last resort; if all are excluded or not serving, false.
+// Choose returns the candidate with the lowest expected time to the response. One in
+// another region must be much faster than all in the sender's region, and those must not
+// be expected to respond well within the target: a faster response is worth no more
+// then, and links between regions are narrow. If no candidate is available, it returns a last resort; if all are excluded or not serving, false.
 // For each choice the caller must call Start before it sends the call and Finish
 // when the call ends.
 func (c *Chooser) Choose(now time.Time, q Query) (Choice, bool) {
-	var best, sameRegion, lastResort Choice
-	var bestCost, lastResortCost float64
-	sameRegionCost := sameRegionTargetShare * q.Target.Seconds()
+	var near, far, lastResort Choice
+	var nearCost, farCost, lastResortCost float64
 	candidates := 0
 	for _, i := range q.Candidates {
 		if !q.permits(now, i) {
@@ -78,15 +80,16 @@
 			continue
 		}
 		candidates++
-		if best.Instance == nil || cost < bestCost {
-			best, bestCost = c.choice(i, cost), cost
-		}
-		if i.Region == q.Region && cost < sameRegionCost {
-			sameRegion, sameRegionCost = c.choice(i, cost), cost
+		switch {
+		case i.Region == q.Region && (near.Instance == nil || cost < nearCost):
+			near, nearCost = c.choice(i, cost), cost
+		case i.Region != q.Region && (far.Instance == nil || cost < farCost):
+			far, farCost = c.choice(i, cost), cost
 		}
 	}
-	if sameRegion.Instance != nil {
-		best = sameRegion
+	best := near
+	if near.Instance == nil || far.Instance != nil && worthCrossRegion(&q, nearCost, farCost) {
+		best = far
 	}
 	if best.Instance == nil {
 		lastResort.LastResort = true
@@ -96,6 +99,12 @@
 	return best, true
 }
 
+// worthCrossRegion reports whether a call goes to another region although there is an
+// instance in the sender's region. The costs are expected times in seconds.
+func worthCrossRegion(q *Query, nearCost, farCost float64) bool {
+	return nearCost >= sameRegionTargetShare*q.Target.Seconds() && farCost < otherRegionTimeShare*nearCost
+}
+
 func (c *Chooser) choice(i *instance.Instance, cost float64) Choice {
 	return Choice{Instance: i, Expected: time.Duration(cost * float64(time.Second))}
 }
--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -22,8 +22,7 @@
 	ColdCallsPerSecond float64
 	// Order is the position of the call's rank, 0 for the most urgent.
 	Order int
-	// Target is the time that remains until the response loses worth. At zero or
-	// below, the sender's region is not preferred.
+	// Target is the time that remains until the response loses worth.
 	Target time.Duration
 	// RequestBytes is the size of the request body, ResponseBytes the expected size
 	// of the response; zero if unknown.
--- a/internal/placement/where_test.go
+++ b/internal/placement/where_test.go
@@ -118,3 +118,38 @@
 		}
 	}
 }
+
+// Guards against calls that fill the links between regions in an overload of all
+// regions, and against calls that stay in a full region while another one has room.
+func TestCallsLeaveTheRegionOnlyForMuchLessWaiting(t *testing.T) {
+	const target, serviceTime = 500 * time.Millisecond, 100 * time.Millisecond
+	for _, c := range []struct {
+		name           string
+		nearCalls, far int
+		want           string
+	}{
+		{"both are full", 60, 50, "near"},
+		{"the other region has room", 60, 2, "far"},
+		{"the own region is fast enough", 5, 0, "near"},
+	} {
+		now, chooser := time.Now(), NewChooser()
+		chooser.ObserveRoundTrip("z2", 60*time.Millisecond)
+		var all []*instance.Instance
+		for region, calls := range map[string]int{"near": c.nearCalls, "far": c.far} {
+			i := &instance.Instance{ID: region, Service: "s", Addr: region + ":1", Zone: map[string]string{"near": "z1", "far": "z2"}[region], Region: region, Slots: 10}
+			all = append(all, i)
+			for range 20 {
+				chooser.Start(now, i)
+				chooser.Finish(now, i, Outcome{Kind: Completed, ServiceTime: serviceTime, Load: &Load{Slots: 10, Running: min(calls, 10), Waiting: max(calls-10, 0)}})
+			}
+		}
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 100 {
+			choice, _ := chooser.Choose(now, Query{Candidates: all, Zone: "z1", Region: "near", LocalAddr: "", Target: target, Rand: rng})
+			if choice.Instance.ID != c.want {
+				t.Errorf("%s: chose the %s instance, expected to take %s", c.name, choice.Instance.ID, choice.Expected)
+				break
+			}
+		}
+	}
+}
