pipeline, mesh: go on after a failed accept; no idle polling for cold starts

Cause: the accept loop of the splitting listener ended at the first error, so a lack of file descriptors would have closed the node to callers for good.

--- a/internal/mesh/cold_start.go
+++ b/internal/mesh/cold_start.go
@@ -12,7 +12,10 @@
 	// coldProbeInterval is how often the upstream's health endpoint is asked whether it
 	// is cold, for services that limit the calls to cold upstreams.
 	coldProbeInterval = 500 * time.Millisecond
-	// lostProbeInterval replaces it while the upstream may have started again.
+	// noProbeInterval is how often the configuration is looked at meanwhile for services
+	// without such a limit.
+	noProbeInterval = 2 * time.Second
+	// lostProbeInterval replaces coldProbeInterval while the upstream may have started again.
 	lostProbeInterval = 100 * time.Millisecond
 )
 
@@ -38,32 +41,39 @@
 			return
 		case <-timer.C:
 		}
-		s.probeColdStart(ctx)
-		interval := coldProbeInterval
-		if s.coldStart.Lost() {
-			interval = lostProbeInterval
-		}
-		timer.Reset(interval)
+		timer.Reset(s.probeColdStart(ctx))
 	}
 }
 
 // probeColdStart makes one health check if the service limits the calls to cold
-// upstreams, and applies the result to the waiting calls.
-func (s *Server) probeColdStart(ctx context.Context) {
+// upstreams, and returns after which time to call it again.
+func (s *Server) probeColdStart(ctx context.Context) time.Duration {
 	service, ok := s.ownService()
-	if !ok || service.ColdCallsPerSecond <= 0 || service.HealthPath == "" {
-		return
+	switch {
+	case !ok:
+		return lostProbeInterval
+	case service.ColdCallsPerSecond <= 0 || service.HealthPath == "":
+		return noProbeInterval
 	}
 	now := time.Now()
 	self := s.cfg.Directory.ByAddr(now, s.cfg.Service, s.cfg.UpstreamAddr)
-	if self == nil {
-		return
-	}
-	if self.Evacuated {
+	switch {
+	case self == nil:
+		return lostProbeInterval
+	case self.Evacuated:
 		// It gets no calls meanwhile and may be cold at the end.
 		s.coldStart.ObserveLost(now)
-		return
+		return lostProbeInterval
+	}
+	s.checkColdStart(ctx, now, self, service)
+	if s.coldStart.Lost() {
+		return lostProbeInterval
 	}
+	return coldProbeInterval
+}
+
+// checkColdStart makes one health check and applies the result to the waiting calls.
+func (s *Server) checkColdStart(ctx context.Context, now time.Time, self *instance.Instance, service *config.Service) {
 	wasCold := s.isCold(now, self, service)
 	remaining, err := s.health.Probe(ctx, service.HealthPath)
 	if err != nil {
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -12,13 +12,13 @@
 	accepted  chan net.Conn
 	closed    chan struct{}
 	closeOnce sync.Once
-	// failed holds the error that ended the accept loop.
+	// failed passes on errors of the underlying listener, after which it may go on.
 	failed chan error
 }
 
 // NewListener returns a listener that splits the connections of l.
 func NewListener(l net.Listener) *Listener {
-	out := &Listener{Listener: l, accepted: make(chan net.Conn), closed: make(chan struct{}), failed: make(chan error, 1)}
+	out := &Listener{Listener: l, accepted: make(chan net.Conn), closed: make(chan struct{}), failed: make(chan error)}
 	go out.acceptAll()
 	return out
 }
@@ -27,8 +27,10 @@
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
-			l.failed <- err
-			return
+			if !l.fail(err) {
+				return
+			}
+			continue
 		}
 		if !l.deliver(newSession(l, c).first()) {
 			_ = c.Close()
@@ -36,6 +38,18 @@
 	}
 }
 
+// fail passes an error to Accept, whose caller decides whether to go on: without file
+// descriptors, for example, net/http tries again later. It returns false once the
+// listener is closed.
+func (l *Listener) fail(err error) bool {
+	select {
+	case l.failed <- err:
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
 // deliver passes a connection to Accept. It returns false once the listener is closed.
 func (l *Listener) deliver(c net.Conn) bool {
 	select {
@@ -53,6 +67,8 @@
 		return c, nil
 	case err := <-l.failed:
 		return nil, err
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
 }
 
