metrics: cold upstream, evacuated zones; a node without memory counts as busy

Cause: operators saw cold starts and evacuations in logs only. A refusal for lack of memory or because of an evacuation counted as an unreachable instance. Change: two gauges; both refusals count as busy, so that the instance is tried again after the told time.

--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -202,7 +202,7 @@
 		return placement.Shed
 	case ReasonLinkBusy:
 		return placement.LinkBusy
-	case ReasonOverloaded, ReasonTooLate, ReasonDeadline:
+	case ReasonOverloaded, ReasonTooLate, ReasonDeadline, ReasonNoMemory, ReasonEvacuated:
 		return placement.Refused
 	}
 	return placement.Unreachable
--- a/internal/mesh/cold_start.go
+++ b/internal/mesh/cold_start.go
@@ -81,7 +81,12 @@
 	} else {
 		s.coldStart.ObserveHealth(now, remaining)
 	}
-	if cold := s.isCold(time.Now(), self, service); cold != wasCold {
+	cold := s.isCold(time.Now(), self, service)
+	s.cfg.Metrics.UpstreamCold.Set(0)
+	if cold {
+		s.cfg.Metrics.UpstreamCold.Set(1)
+	}
+	if cold != wasCold {
 		s.cfg.Log.Info("cold start of the upstream", "instance", self.ID, "cold", cold, "remaining_ms", remaining.Milliseconds())
 	}
 	s.updateLimits(self)
--- a/internal/mesh/metrics.go
+++ b/internal/mesh/metrics.go
@@ -24,6 +24,9 @@
 	DisconnectedBeforeSend *prometheus.CounterVec
 	// UpstreamCrashes counts the crashes of the upstream beside the node during a call.
 	UpstreamCrashes prometheus.Counter
+	// UpstreamCold is 1 while the calls to the upstream beside the node are limited
+	// because it is cold, else 0.
+	UpstreamCold prometheus.Gauge
 }
 
 // NewMetrics creates the metrics and registers them with r. It panics if one of
@@ -41,8 +44,10 @@
 			"Calls whose caller had disconnected when they were about to be sent.", "hop"),
 		UpstreamCrashes: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "mesh_upstream_crashes_total",
 			Help: "Crashes of the upstream during a call."}),
+		UpstreamCold: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "mesh_upstream_cold",
+			Help: "Whether the upstream is cold and its calls are limited."}),
 	}
-	r.MustRegister(m.Calls, m.CallSeconds, m.Attempts, m.Admissions, m.Retries, m.Resends, m.DisconnectedBeforeSend, m.UpstreamCrashes)
+	r.MustRegister(m.Calls, m.CallSeconds, m.Attempts, m.Admissions, m.Retries, m.Resends, m.DisconnectedBeforeSend, m.UpstreamCrashes, m.UpstreamCold)
 	return m
 }
 
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -67,7 +67,8 @@
 	s.changed = make(chan struct{})
 }
 
-// feed adds bytes that were sent ahead and splits off the complete requests among them.
+// feed appends bytes that were sent ahead and splits off the complete requests among
+// them.
 func (s *session) feed(data []byte) {
 	s.mu.Lock()
 	s.ahead = append(s.ahead, data...)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -64,6 +64,10 @@
 		Namespace: "filbertpier", Name: "replica_confirmed_age_seconds",
 		Help: "Time since the last successful read of the published items.",
 	}, func() float64 { return n.reader.ConfirmedAge(time.Now()).Seconds() }))
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "filbertpier", Name: "evacuated_zones",
+		Help: "Availability zones whose upstreams get no calls at the operator's request.",
+	}, func() float64 { return float64(directory.EvacuatedZones()) }))
 	n.server = mesh.NewServer(mesh.Config{
 		HeaderNames: a.HeaderNames, Zone: s.Zone, Region: s.Region, Service: s.Service,
 		UpstreamAddr: s.Upstream, PeerPort: port(s.Listen.Nodes), LocalIP: s.LocalIP,
