--- a/tools/faultsoak/injector.go
+++ b/tools/faultsoak/injector.go
@@ -37,6 +37,7 @@
 // run injects faults for d and waits until all of them have ended.
 func (i *injector) run(d time.Duration) {
 	start := time.Now()
+	i.wg.Go(func() { i.testbed.evacuateZones(d) })
 	for time.Since(start) < d {
 		planned := int(time.Since(start)/phaseDuration)%2 == 0
 		i.step(planned)
--- a/tools/faultsoak/upstream.go
+++ b/tools/faultsoak/upstream.go
@@ -21,6 +21,9 @@
 	// announced the drain. It keeps serving for drainServeTime.
 	maxDrainDelay  = 2500 * time.Millisecond
 	drainServeTime = 3500 * time.Millisecond
+	// maxEvacuationDelay is how long an upstream may get calls after the evacuation of its
+	// zone was requested: the news of it takes the same way as that of a drain.
+	maxEvacuationDelay = maxDrainDelay
 	// maxLeaveDelay is how long after its caller has left a call may reach an
 	// upstream.
 	maxLeaveDelay = 500 * time.Millisecond
@@ -49,6 +52,9 @@
 	server        *http.Server
 	drainingSince time.Time
 	boots         int
+	// evacuatedSince is when the evacuation of the zone was requested; zero if it is not
+	// evacuated.
+	evacuatedSince time.Time
 }
 
 // start listens and publishes the entry under a new instance id.
@@ -98,6 +104,7 @@
 		return
 	}
 	u.checkDrain(id)
+	u.checkEvacuation(id)
 	u.checkLeft(id)
 	if u.running.Add(1) > slots || sampleFault(&u.faults.shed) {
 		u.running.Add(-1)
