intake: less memory for clients, short heads for operators' requests

Change: clients may hold a fifth of the memory instead of a quarter; readiness checks and requests for metrics have heads of at most 16 KiB.

--- a/internal/intake/options.go
+++ b/internal/intake/options.go
@@ -21,9 +21,10 @@
 const (
 	defaultMemoryBytes    = 256 << 20
 	defaultMaxDescriptors = 4096
-	// memoryShare leaves room for the process itself and for garbage, which the runtime
-	// collects only when the heap has grown.
-	memoryShare = 0.25
+	// memoryShare leaves room for the process itself and for garbage: what short calls
+	// have given back stays in memory until the runtime collects it, which takes longer
+	// when the processor is short.
+	memoryShare = 0.2
 	// connectionShare leaves room for the connections to upstreams and to other nodes, of
 	// which each call of a caller needs one.
 	connectionShare = 0.5
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -125,7 +125,7 @@
 		l = pipeline.NewListener(l)
 	}
 	s := &http.Server{
-		Addr: addr, Handler: n.guard.Handler(n.requests.track(h)), ConnContext: connContext, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: mesh.MaxHeaderBytes,
+		Addr: addr, Handler: n.guard.Handler(n.requests.track(h)), ConnContext: connContext, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes(clients),
 		ErrorLog: n.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	n.servers = append(n.servers, s)
@@ -133,6 +133,17 @@
 	return nil
 }
 
+// maxOperatorHeaderBytes bounds the head of a readiness check or a request for metrics,
+// which has few header fields.
+const maxOperatorHeaderBytes = 16 << 10
+
+func maxHeaderBytes(clients intake.Class) int {
+	if clients == intake.ClassOperator {
+		return maxOperatorHeaderBytes
+	}
+	return mesh.MaxHeaderBytes
+}
+
 // connContext passes a client's connection on to its calls, which charge memory to it
 // and see when the client leaves.
 func connContext(ctx context.Context, c net.Conn) context.Context {
