replica: the start of a node is no outage of the platform

Cause: the entry's removal arrived 0.41 s after the ack and got the grace period of an outage, 2.2 s, since the nodes had started less than 4 s before, and the first read of a node counted as the end of an outage (log: 'upstream entry removed' with grace_ms=2200 without any disruption of the store). Change: the first read counts as such only if it came a second or more after the start. Result: TestStartBesideSoundPlatformIsNoOutage fails without the change.

--- a/internal/replica/connectivity.go
+++ b/internal/replica/connectivity.go
@@ -11,8 +11,11 @@
 	// mu guards the other fields.
 	mu        sync.Mutex
 	connected bool
+	// wasConnected is set once connected has been set.
+	wasConnected bool
 	// disconnectedAt and reconnectedAt are when connected was last cleared and
-	// set. disconnectedAt starts as the time of creation.
+	// set. disconnectedAt starts as the time of creation; reconnectedAt stays zero if the
+	// node connected at once.
 	disconnectedAt, reconnectedAt time.Time
 	// confirmedAt is when the platform sent the last successful read, which may have
 	// arrived through other nodes.
@@ -48,10 +51,19 @@
 	if c.connected {
 		return 0, false, announce
 	}
-	c.connected, c.reconnectedAt, c.lost = true, now, make(chan struct{})
-	return now.Sub(c.disconnectedAt), true, announce
+	outage = now.Sub(c.disconnectedAt)
+	if c.wasConnected || outage >= minStartOutage {
+		c.reconnectedAt = now
+	}
+	c.connected, c.wasConnected, c.lost = true, true, make(chan struct{})
+	return outage, true, announce
 }
 
+// minStartOutage is how long a node must have waited after its start for its first
+// successful read to count as the end of an outage. A node that starts beside a sound
+// platform reads at once.
+const minStartOutage = time.Second
+
 // lose records a failed read of the platform.
 func (c *connectivity) lose(now time.Time) {
 	c.mu.Lock()
