--- a/internal/comeback/plan.go
+++ b/internal/comeback/plan.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/halflife"
 )
 
 const (
@@ -32,7 +34,7 @@
 
 func (p *plan) decay(now time.Time) {
 	if elapsed := now.Sub(p.servedAt); elapsed > 0 {
-		p.served *= math.Exp2(-elapsed.Seconds() / rateHalfLife.Seconds())
+		p.served *= halflife.Weight(elapsed, rateHalfLife)
 		p.servedAt = now
 	}
 }
--- a/internal/placement/instance_stats.go
+++ b/internal/placement/instance_stats.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/halflife"
 )
 
 const (
@@ -116,7 +118,7 @@
 
 // failureShareAt returns the failure share, decayed to now.
 func (s *instanceStats) failureShareAt(now time.Time) float64 {
-	return s.failureShare * decay(now.Sub(s.failureAt), failureHalfLife)
+	return s.failureShare * halflife.Weight(now.Sub(s.failureAt), failureHalfLife)
 }
 
 // expectedTime returns the expected time in seconds from the arrival of a call
@@ -139,7 +141,7 @@
 // M/M/c queues.
 func (s *instanceStats) queueTime(now time.Time, slots, serviceTime float64) float64 {
 	age := now.Sub(s.loadAt)
-	mean := s.meanLoad * decay(age, loadHalfLife)
+	mean := s.meanLoad * halflife.Weight(age, loadHalfLife)
 	reported := float64(s.load.Running + s.load.Waiting)
 	current := mean + (reported-mean)*math.Exp(-age.Seconds()/loadReportDecay.Seconds())
 	current = max(current, float64(s.outstanding))
@@ -163,11 +165,6 @@
 	return min(float64(slots), max(limit*serviceTime, minUsableSlots))
 }
 
-// decay returns the weight of an observation of the given age, 1 for a new one.
-func decay(age, halfLife time.Duration) float64 {
-	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
-}
-
 // linkTime returns the expected time in seconds that a body of the given size waits
 // for the VM's link, whose backlog in its direction is the one last reported, and
 // takes to transmit; zero if it is small or the link is unlimited.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -1,10 +1,10 @@
 package retry
 
 import (
-	"math"
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/halflife"
 )
 
 // budget holds the retry tokens of one service, with one balance per call
@@ -73,7 +73,7 @@
 	if b.updatedAt[depth].IsZero() {
 		*tokens = reserve
 	} else if age := now.Sub(b.updatedAt[depth]); age > 0 && *tokens > reserve {
-		*tokens = reserve + (*tokens-reserve)*math.Exp2(-age.Seconds()/surplusHalfLife.Seconds())
+		*tokens = reserve + (*tokens-reserve)*halflife.Weight(age, surplusHalfLife)
 	}
 	b.updatedAt[depth] = now
 	return tokens
--- a/internal/routing/refused_share.go
+++ b/internal/routing/refused_share.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/halflife"
+)
 
 // refusedShare is the moving average of the share of refused calls in one rank
 // class.
@@ -29,7 +33,7 @@
 	if r.share == 0 {
 		return 0
 	}
-	return r.share * decay(now.Sub(r.observedAt), refusedHalfLife)
+	return r.share * halflife.Weight(now.Sub(r.observedAt), refusedHalfLife)
 }
 
 func (r *refusedShare) observe(now time.Time, refused float64) {
--- a/internal/routing/upstream_stats.go
+++ b/internal/routing/upstream_stats.go
@@ -1,8 +1,9 @@
 package routing
 
 import (
-	"math"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/halflife"
 )
 
 // upstreamStats holds what the node observed of one upstream in its own calls
@@ -158,7 +159,7 @@
 func (s *upstreamStats) expectedLatency(now time.Time, order int, o Options) float64 {
 	base := defaultLatency.Seconds()
 	if s.latency > 0 {
-		base += (s.latency - base) * decay(now.Sub(s.latencyAt), latencyHalfLife)
+		base += (s.latency - base) * halflife.Weight(now.Sub(s.latencyAt), latencyHalfLife)
 	}
 	slots := float64(max(s.report.Slots, 1))
 	queue := float64(s.outstanding) / slots
@@ -171,7 +172,7 @@
 	cost := base * (1 + queue)
 	recentFailures := 0.0
 	if s.failures > 0 {
-		recentFailures = float64(s.failures) * decay(now.Sub(s.failedAt), failedHalfLife)
+		recentFailures = float64(s.failures) * halflife.Weight(now.Sub(s.failedAt), failedHalfLife)
 	}
 	cost *= 1 + refusedPenalty*s.refused[rankClass(order)].shareAt(now) + failedPenalty*recentFailures
 	if !s.unhealthyAt.IsZero() && now.Sub(s.unhealthyAt) < unhealthyTTL {
@@ -180,11 +181,6 @@
 	return cost
 }
 
-// decay returns the weight of an observation of the given age, 1 for a new one.
-func decay(age, halfLife time.Duration) float64 {
-	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
-}
-
 const (
 	// defaultLatency is used for an upstream without observations. It is low, so
 	// that new upstreams are tried.
