--- a/tools/faultsoak/evacuation.go
+++ b/tools/faultsoak/evacuation.go
@@ -53,8 +53,7 @@
 	u.mu.Lock()
 	since := u.evacuatedSince
 	u.mu.Unlock()
-	if since.IsZero() || time.Since(since) < maxEvacuationDelay || !u.testbed.faultFreeSince(since.Add(-faultFreePeriod)) {
-		return
+	if u.testbed.overdue(since, maxEvacuationDelay) {
+		u.testbed.violations.add("EVAC", "attempt %s reached %s %s after its zone was evacuated", id, u.entry.ID, time.Since(since))
 	}
-	u.testbed.violations.add("EVAC", "attempt %s reached %s %s after its zone was evacuated", id, u.entry.ID, time.Since(since))
 }
--- a/tools/faultsoak/testbed.go
+++ b/tools/faultsoak/testbed.go
@@ -144,6 +144,12 @@
 // faultFreeSince reports whether no fault has been active since t.
 func (tb *testbed) faultFreeSince(t time.Time) bool { return tb.faultsUntil.Load() < t.UnixNano() }
 
+// overdue reports whether an event is longer ago than limit and no fault may have delayed
+// the news of it. A zero time is no event.
+func (tb *testbed) overdue(event time.Time, limit time.Duration) bool {
+	return !event.IsZero() && time.Since(event) >= limit && tb.faultFreeSince(event.Add(-faultFreePeriod))
+}
+
 // startCallers starts the callers and the version probe of each VM. They stop
 // when the context ends.
 func (tb *testbed) startCallers(ctx context.Context, wg *sync.WaitGroup) {
--- a/tools/faultsoak/upstream.go
+++ b/tools/faultsoak/upstream.go
@@ -149,10 +149,9 @@
 	u.mu.Lock()
 	since := u.drainingSince
 	u.mu.Unlock()
-	if since.IsZero() || time.Since(since) < maxDrainDelay || !u.testbed.faultFreeSince(since.Add(-faultFreePeriod)) {
-		return
+	if u.testbed.overdue(since, maxDrainDelay) {
+		u.testbed.violations.add("DRAIN", "attempt %s reached %s %s after it announced the drain", id, u.entry.ID, time.Since(since))
 	}
-	u.testbed.violations.add("DRAIN", "attempt %s reached %s %s after it announced the drain", id, u.entry.ID, time.Since(since))
 }
 
 // checkLeft reports a call that reaches the upstream long after its caller has left,
@@ -160,10 +159,9 @@
 func (u *upstream) checkLeft(id string) {
 	var leftAt time.Time
 	u.testbed.ledger.update(id, func(a *attempt) { leftAt = a.leftAt })
-	if leftAt.IsZero() || time.Since(leftAt) < maxLeaveDelay || !u.testbed.faultFreeSince(leftAt.Add(-faultFreePeriod)) {
-		return
+	if u.testbed.overdue(leftAt, maxLeaveDelay) {
+		u.testbed.violations.add("GONE", "attempt %s reached %s %s after its caller had left", id, u.entry.ID, time.Since(leftAt))
 	}
-	u.testbed.violations.add("GONE", "attempt %s reached %s %s after its caller had left", id, u.entry.ID, time.Since(leftAt))
 }
 
 func pause(d time.Duration) {
