--- a/internal/pipeline/part.go
+++ b/internal/pipeline/part.go
@@ -93,9 +93,8 @@
 func (p *part) readDuringCall(b []byte) (int, error) {
 	s := p.session
 	for {
-		expired := s.expiry(p)
-		mayRead, changed := s.mayReadAhead(p)
-		if !mayRead {
+		size, changed, expired := s.readAhead(p)
+		if size == 0 {
 			select {
 			case <-expired:
 				return 0, os.ErrDeadlineExceeded
@@ -107,8 +106,8 @@
 			continue
 		}
 		buffer := b
-		if s.hasAhead() {
-			buffer = make([]byte, readAheadBytes)
+		if size > len(b) {
+			buffer = make([]byte, size)
 		}
 		n, err := s.Conn.Read(buffer)
 		if n == 0 {
@@ -122,7 +121,7 @@
 // observeReadError ends the calls of the other parts if the client has left.
 func (p *part) observeReadError(err error) {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		p.session.leftOnce.Do(func() { close(p.session.left) })
+		p.session.markLeft()
 	}
 }
 
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -107,27 +107,19 @@
 	s.split()
 }
 
-// mayReadAhead reports whether a part may read further requests while it is served. It
-// also returns the channel that is closed at the next change.
-func (s *session) mayReadAhead(p *part) (bool, <-chan struct{}) {
+// readAhead returns how many bytes a part may read ahead while it is served; zero until
+// changed is closed. expired is closed while the part's read deadline has passed.
+func (s *session) readAhead(p *part) (size int, changed, expired <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	mayGrow := len(s.ahead) < maxHeadBytes && couldBeHead(s.ahead)
-	return s.last == p && s.active < maxParts && mayGrow, s.changed
-}
-
-func (s *session) hasAhead() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.ahead) > 0
-}
-
-// expiry returns the channel that is closed while the read deadline of a part has
-// passed.
-func (s *session) expiry(p *part) <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return p.expired
+	switch {
+	case s.last != p || s.active >= maxParts || len(s.ahead) >= maxHeadBytes || !couldBeHead(s.ahead):
+	case len(s.ahead) == 0:
+		size = backgroundReadBytes
+	default:
+		size = readAheadBytes
+	}
+	return size, s.changed, p.expired
 }
 
 // setReadDeadline sets the read deadline of a part. Only that of the last part is a
@@ -187,8 +179,11 @@
 	return n
 }
 
+// markLeft ends the calls of all parts.
+func (s *session) markLeft() { s.leftOnce.Do(func() { close(s.left) }) }
+
 // leave ends the connection for all parts.
 func (s *session) leave() {
-	s.leftOnce.Do(func() { close(s.left) })
+	s.markLeft()
 	_ = s.Conn.Close()
 }
