listener: one context of connections for both programs

node and sidecar had a function each that differed in pipeline only, which leaves connections that are not split alone. No behaviour changes.

--- a/internal/listener/error.go
+++ b/internal/listener/error.go
@@ -1,5 +1,5 @@
-// Package listener holds the error that all servers return when they cannot
-// listen on their address.
+// Package listener holds what the servers of all programs share: the error that they
+// return when they cannot listen on their address, and the context of connections.
 package listener
 
 // Error reports that a server cannot listen on Addr.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,7 +12,6 @@
 	"github.com/filbertpier/filbertpier/internal/admin"
 	"github.com/filbertpier/filbertpier/internal/control"
 	"github.com/filbertpier/filbertpier/internal/dataplane"
-	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/intake"
 	"github.com/filbertpier/filbertpier/internal/listener"
 	"github.com/filbertpier/filbertpier/internal/member"
@@ -142,17 +141,11 @@
 
 func serve(l net.Listener, h http.Handler, onConnState func(net.Conn, http.ConnState)) *http.Server {
 	s := &http.Server{Handler: h, ConnState: onConnState, ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnContext: connContext}
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: listener.ConnContext}
 	go func() { _ = s.Serve(l) }()
 	return s
 }
 
-// connContext passes a client's connection on to its calls, which charge memory to it
-// and see when the client leaves.
-func connContext(ctx context.Context, c net.Conn) context.Context {
-	return disconnect.ConnContext(intake.ConnContext(ctx, c), c)
-}
-
 // Stop announces that the node leaves, lets calls in flight finish within the
 // drain time and closes the node. Calls that arrive during leaveDelay are served
 // and their connections are closed after the response, so that few callers
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -10,7 +10,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/feed"
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/intake"
@@ -125,7 +124,7 @@
 		l = pipeline.NewListener(l)
 	}
 	s := &http.Server{
-		Addr: addr, Handler: n.guard.Handler(n.requests.track(h)), ConnContext: connContext, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes(clients),
+		Addr: addr, Handler: n.guard.Handler(n.requests.track(h)), ConnContext: listener.ConnContext, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes(clients),
 		ErrorLog: n.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	n.servers = append(n.servers, s)
@@ -144,12 +143,6 @@
 	return mesh.MaxHeaderBytes
 }
 
-// connContext passes a client's connection on to its calls, which charge memory to it
-// and see when the client leaves.
-func connContext(ctx context.Context, c net.Conn) context.Context {
-	return disconnect.ConnContext(intake.ConnContext(pipeline.ConnContext(ctx, c), c), c)
-}
-
 // listenConfig disables TCP keep-alive probes: the server's idle timeout closes
 // the connections of vanished clients, and enabling the probes costs four
 // system calls per connection.
