mesh: no repeated work for a call's regions and limits

The first attempt matched the route again although the configuration had not changed, updateLimits asked for the named limit twice, the gauge of cold upstreams was 0 for a moment at each check, and retryAfter repeated its random part without its reason. No behaviour changes but the gauge's.

--- a/internal/mesh/allowed_regions.go
+++ b/internal/mesh/allowed_regions.go
@@ -15,8 +15,11 @@
 // currentRegions returns the regions in which a call may run by the configuration
 // version that is current now, which may be later than that at its arrival.
 func (s *Server) currentRegions(q *request) config.RegionSet {
-	snap := s.cfg.Store.Current()
-	if route, ok := snap.Document.Match(stripPort(q.host), q.method, q.path); ok {
+	document := s.cfg.Store.Current().Document
+	if document == q.document {
+		return q.route.AllowedRegions
+	}
+	if route, ok := document.Match(stripPort(q.host), q.method, q.path); ok {
 		return route.AllowedRegions
 	}
 	return q.route.AllowedRegions
--- a/internal/mesh/caller_request.go
+++ b/internal/mesh/caller_request.go
@@ -32,7 +32,7 @@
 	if !ok {
 		return q, &result{kind: ResultAnswered, reason: ReasonNoRoute, status: http.StatusNotFound}
 	}
-	q.route = route
+	q.document, q.route = snap.Document, route
 	q.rank, _ = snap.Document.Rank(route.Rank)
 	q.service, _ = snap.Document.Service(s.trafficSplits.Choose(route))
 	q.deadline = q.arrived.Add(s.allowedTime(r, route.TimeoutMs))
--- a/internal/mesh/cold_start.go
+++ b/internal/mesh/cold_start.go
@@ -82,10 +82,7 @@
 		s.coldStart.ObserveHealth(now, remaining)
 	}
 	cold := s.isCold(time.Now(), self, service)
-	s.cfg.Metrics.UpstreamCold.Set(0)
-	if cold {
-		s.cfg.Metrics.UpstreamCold.Set(1)
-	}
+	s.cfg.Metrics.setUpstreamCold(cold)
 	if cold != wasCold {
 		s.cfg.Log.Info("cold start of the upstream", "instance", self.ID, "cold", cold, "remaining_ms", remaining.Milliseconds())
 	}
@@ -98,12 +95,14 @@
 
 // callsPerSecond returns the limit of calls per second to the upstream beside the node:
 // the one that it names or, if it is lower, the one of its cold start; zero if there is
-// none.
+// none. service is nil if the current configuration version lacks it.
 func (s *Server) callsPerSecond(self *instance.Instance, service *config.Service) float64 {
 	named := s.callLimit.Get(self)
-	cold := service.ColdCallsPerSecond
-	if cold <= 0 || named > 0 && named < cold || !s.isCold(time.Now(), self, service) {
+	if service == nil || service.ColdCallsPerSecond <= 0 || !s.isCold(time.Now(), self, service) {
 		return named
 	}
-	return cold
+	if named > 0 {
+		return min(named, service.ColdCallsPerSecond)
+	}
+	return service.ColdCallsPerSecond
 }
--- a/internal/mesh/coldstart/health_client.go
+++ b/internal/mesh/coldstart/health_client.go
@@ -60,7 +60,8 @@
 	if err != nil || !(ms >= 0) {
 		return 0, &ProbeError{Status: resp.StatusCode(), Err: err}
 	}
-	return min(time.Duration(min(ms, float64(maxRemaining.Milliseconds()))*float64(time.Millisecond)), maxRemaining), nil
+	ms = min(ms, float64(maxRemaining.Milliseconds()))
+	return time.Duration(ms * float64(time.Millisecond)), nil
 }
 
 // Close closes the idle connection to the upstream.
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -95,17 +95,17 @@
 }
 
 // updateLimits applies the slots that the upstream announces, the limit that it
-// names or that holds while it is cold, and the ranks and the connection limit of the current configuration
-// version.
+// names or that holds while it is cold, and the ranks and the connection limit of the
+// current configuration version.
 func (s *Server) updateLimits(self *instance.Instance) {
 	snap := s.cfg.Store.Current()
 	if snap == nil {
 		return
 	}
-	limits := admission.Limits{Slots: self.Slots, Ranks: snap.Document.Ranks(), CallsPerSecond: s.callLimit.Get(self)}
-	if service, ok := snap.Document.Service(s.cfg.Service); ok {
+	service, ok := snap.Document.Service(s.cfg.Service)
+	limits := admission.Limits{Slots: self.Slots, Ranks: snap.Document.Ranks(), CallsPerSecond: s.callsPerSecond(self, service)}
+	if ok {
 		limits.Connections = service.Connections
-		limits.CallsPerSecond = s.callsPerSecond(self, service)
 	}
 	s.limiter.SetLimits(limits)
 }
--- a/internal/mesh/metrics.go
+++ b/internal/mesh/metrics.go
@@ -51,6 +51,14 @@
 	return m
 }
 
+func (m *Metrics) setUpstreamCold(cold bool) {
+	value := 0.0
+	if cold {
+		value = 1
+	}
+	m.UpstreamCold.Set(value)
+}
+
 const namespace = "filbertpier"
 
 func newCounterVec(name, help string, labels ...string) *prometheus.CounterVec {
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -37,10 +37,12 @@
 	deadline time.Time
 	// due is when the response must be complete to meet the target latency; zero
 	// if unknown.
-	due     time.Time
-	route   *config.Route
-	rank    *config.Rank
-	service *config.Service
+	due time.Time
+	// document is the configuration in which route was found when the call arrived.
+	document *config.Document
+	route    *config.Route
+	rank     *config.Rank
+	service  *config.Service
 	// retrying is set on every attempt after the first.
 	retrying bool
 	rng      *rand.Rand
--- a/internal/mesh/respond.go
+++ b/internal/mesh/respond.go
@@ -119,18 +119,21 @@
 // retryAfter returns the Retry-After value in seconds for a refused call.
 func (s *Server) retryAfter(q *request, res *result) string {
 	wait := max(res.expectedWait, minRetryAfter)
-	switch {
-	case res.refusedAsBusy() && q.service != nil:
-		wait = s.planReturn(q, min(wait, maxRetryAfter))
-	case res.reason == ReasonQuarantined:
-		wait += rand.N(wait/2 + 1)
-	default:
+	if res.reason != ReasonQuarantined {
 		wait = min(wait, maxRetryAfter)
-		wait += rand.N(wait/2 + 1)
+	}
+	if res.refusedAsBusy() && q.service != nil {
+		wait = s.planReturn(q, wait)
+	} else {
+		wait = spread(wait)
 	}
 	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
 }
 
+// spread adds a random part of up to half to a wait, so that callers refused together do
+// not return together.
+func spread(wait time.Duration) time.Duration { return wait + rand.N(wait/2+1) }
+
 // planReturn returns when a call that found the upstreams busy may come back: when there
 // is room for it behind those that were told so before, within the time that its caller
 // waits. Without such a time, callers are spread over the later half of it.
@@ -138,7 +141,7 @@
 	now := time.Now()
 	limit := min(time.Duration(returnTimeShare*float64(q.deadline.Sub(now))), maxRetryAfter)
 	if limit <= wait {
-		return wait + rand.N(wait/2+1)
+		return spread(wait)
 	}
 	after, ok := s.comeback.Next(now, comeback.Key{Service: q.service.Name, Order: q.rank.Order}, wait, limit)
 	if !ok {
