--- a/review/_rig2/bed.go
+++ b/review/_rig2/bed.go
@@ -2,15 +2,19 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,6 +59,8 @@
 	memoryMB int
 	// linkMbps replaces the bandwidth of the settings unless it is zero.
 	linkMbps int
+	// bodyLimit replaces max_body_bytes of the configuration unless it is zero.
+	bodyLimit atomic.Int64
 }
 
 func (b *bed) addr(v *vm, port int) string {
@@ -76,7 +82,7 @@
 		return b, err
 	}
 	b.storeAt = l.Addr().String()
-	b.http = &http.Server{Handler: b.store}
+	b.http = &http.Server{Handler: http.HandlerFunc(b.serveStore)}
 	go func() { _ = b.http.Serve(l) }()
 	for _, v := range vms {
 		if v.server, err = startServer("i-"+v.name, v.service, b.addr(v, portServer), v.slots, rec); err != nil {
@@ -89,6 +95,32 @@
 	return b, nil
 }
 
+// serveStore answers for the store, with bodyLimit in the configuration.
+func (b *bed) serveStore(w http.ResponseWriter, r *http.Request) {
+	answer := httptest.NewRecorder()
+	b.store.ServeHTTP(answer, r)
+	body := answer.Body.Bytes()
+	if n := b.bodyLimit.Load(); n > 0 {
+		body = base64Value.ReplaceAllFunc(body, func(quoted []byte) []byte {
+			value, err := base64.StdEncoding.DecodeString(string(quoted[1 : len(quoted)-1]))
+			if err != nil || !bytes.Contains(value, []byte(standinBodyLimit)) {
+				return quoted
+			}
+			value = bytes.Replace(value, []byte(standinBodyLimit), fmt.Appendf(nil, `"max_body_bytes":%d`, n), 1)
+			return []byte(strconv.Quote(base64.StdEncoding.EncodeToString(value)))
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(body)
+}
+
+// standinBodyLimit is the limit that standin.PutConfiguration publishes, base64Value a
+// value in an answer of the store.
+const standinBodyLimit = `"max_body_bytes":1048576`
+
+var base64Value = regexp.MustCompile(`"[A-Za-z0-9+/]{40,}=*"`)
+
 // choosePorts picks loopback addresses for the VMs and ports that are free on all.
 func (b *bed) choosePorts() error {
 	for range 50 {
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -21,8 +21,10 @@
 
 // cases maps the name of a case to what plays it and reports whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
+	"uploads":    playUploads,
 	"stop-tail":  playStopTail,
 	"stop-mixed": playStopMixed,
+	"cut-off":    playCutOff,
 	"memory":     playMemory,
 }
 
--- a/review/_rig2/memory.go
+++ b/review/_rig2/memory.go
@@ -11,9 +11,9 @@
 
 const (
 	// usualRequesters are at one node all the time, burstRequesters in bursts as well:
-	// together 2.5 times as many.
-	usualRequesters = 6
-	burstRequesters = 9
+	// together 2.4 times as many.
+	usualRequesters = 5
+	burstRequesters = 7
 	bursts          = 6
 	burstTime       = 6 * time.Second
 	// allowedLosses is how many requests the rule LOST lets a machine lose at any time.
@@ -24,8 +24,9 @@
 // until the answers that wait for their turn fill the node's memory for clients.
 func playMemory(rec *record, trouble bool) (bool, error) {
 	vms := atlasVMs()
+	vms[2].slots, vms[3].slots = 18, 18
 	for i, zone := range []string{"mrk-gueliz", "mrk-menara"} {
-		vms = append(vms, &vm{name: string(rune('e' + i)), zone: zone, service: "archive", slots: 9})
+		vms = append(vms, &vm{name: string(rune('e' + i)), zone: zone, service: "archive", slots: 18})
 	}
 	b, err := newBed(rec, vms, 184)
 	defer b.close()
@@ -34,7 +35,7 @@
 	}
 	b.linkMbps = 200
 	b.store.PutConfiguration(12, []standin.Route{
-		{Host: host, Prefix: "/listing/", Service: "guide", Idempotent: true, TimeoutMs: 3000, TargetMs: 1000, MaxAttempts: 3},
+		{Host: host, Prefix: "/tariff/", Service: "guide", Idempotent: true, TimeoutMs: 6000, TargetMs: 4000, MaxAttempts: 3},
 		{Host: host, Prefix: "/episode/", Service: "archive", Idempotent: true, TimeoutMs: 6000, TargetMs: 4000, MaxAttempts: 3},
 	}, "guide", "archive")
 	for _, v := range vms {
@@ -44,9 +45,9 @@
 	}
 	time.Sleep(contactTime)
 	batch := func(q *requester) []piece {
-		list := []*request{q.newRequest(fmt.Sprintf("/listing/%d-400/%d", 1000+rand.IntN(800), q.sent), 6*time.Second)}
+		list := []*request{q.newRequest(fmt.Sprintf("/tariff/%d-1500/%d", 3000+rand.IntN(800), q.sent), 12*time.Second)}
 		for range 7 {
-			list = append(list, q.newRequest(fmt.Sprintf("/episode/%d-%d/%d", 60+rand.IntN(160), episodeBytes(), q.sent), 6*time.Second))
+			list = append(list, q.newRequest(fmt.Sprintf("/episode/%d-%d/%d", 200+rand.IntN(2000), episodeBytes(), q.sent), 6*time.Second))
 		}
 		return []piece{{requests: list}}
 	}
--- a/review/_rig2/server.go
+++ b/review/_rig2/server.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"hash/crc32"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,7 +31,15 @@
 	slots             chan struct{}
 	rec               *record
 	http              *http.Server
-	mu                sync.Mutex
+	// rejectsEarly is set while the server rejects earlyShare of the requests with a body
+	// before they are in, and reads the rest of the body later; early counts them.
+	rejectsEarly atomic.Bool
+	early        atomic.Int64
+	// cutsOff is set while the server breaks off cutShare of its answers; cutOff holds the
+	// ids of these requests.
+	cutsOff atomic.Bool
+	cutOff  sync.Map
+	mu      sync.Mutex
 	// runs holds the runs by attempt id.
 	runs map[string][]*run
 }
@@ -76,6 +87,11 @@
 		refuse(http.StatusBadRequest)
 		return
 	}
+	if r.ContentLength != 0 && s.rejectsEarly.Load() && rand.Float64() < earlyShare {
+		s.early.Add(1)
+		s.rejectEarly(w, r, refuse)
+		return
+	}
 	select {
 	case s.slots <- struct{}{}:
 	default:
@@ -83,6 +99,10 @@
 		return
 	}
 	defer func() { <-s.slots }()
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		s.rec.line("server %s gets a part of the body of %s: %v", s.id, id, err)
+		return
+	}
 	work, size := parseWork(r.URL.Path)
 	this := s.begin(id)
 	s.rec.line("server %s begins %s, work %s", s.id, id, work)
@@ -100,9 +120,32 @@
 	body := answerBody(id, size)
 	h.Set(headerSeal, seal(body))
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if s.cutsOff.Load() && rand.Float64() < cutShare {
+		s.cutOff.Store(id, true)
+		s.rec.line("server %s breaks off %s", s.id, id)
+		// net/http closes the connection of an answer that is too short.
+		body = body[:len(body)-1]
+	}
 	_, _ = w.Write(body)
 }
 
+// rejectEarly answers before the body is in, keeps the connection and reads on later.
+func (s *appServer) rejectEarly(w http.ResponseWriter, r *http.Request, refuse func(status int)) {
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	w.Header().Set("Content-Length", "0")
+	refuse(http.StatusServiceUnavailable)
+	_ = control.Flush()
+	time.Sleep(20 * time.Millisecond)
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+// hasCutOff reports whether the server has broken off its answer to a request.
+func (s *appServer) hasCutOff(id string) bool {
+	_, ok := s.cutOff.Load(id)
+	return ok
+}
+
 func (s *appServer) begin(id string) *run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
