pipeline: report connections closed before all requests on them are answered

Change: each such close is logged with its cause and the number of requests left unanswered, and counted in sent_ahead_unanswered_total. The ConnState hook tells a close behind a complete response from one within it.

--- a/internal/mesh/caller_request.go
+++ b/internal/mesh/caller_request.go
@@ -20,7 +20,7 @@
 func (s *Server) readCallerRequest(w http.ResponseWriter, r *http.Request) (*request, *result) {
 	q := newRequest(r, s.cfg.HeaderNames)
 	if s.draining.Load() {
-		return q, refuseLeaving(w)
+		return q, refuseLeaving(w, r)
 	}
 	snap := s.cfg.Store.Current()
 	if snap == nil {
@@ -38,7 +38,7 @@
 	q.deadline = q.arrived.Add(s.allowedTime(r, route.TimeoutMs))
 	q.due = q.arrived.Add(targetLatency(route, q.rank))
 	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromCaller(q.arrived, q.deadline) {
-		return q, refuseLeaving(w)
+		return q, refuseLeaving(w, r)
 	}
 	if !route.Idempotent && !pipeline.AwaitTurn(r.Context()) {
 		return q, notRun(ReasonCallerLeft, "the caller left before its earlier calls had ended")
@@ -56,7 +56,8 @@
 
 // refuseLeaving refuses a call because the node stops, and closes the connection
 // after the response, so that the caller opens its next one to another node.
-func refuseLeaving(w http.ResponseWriter) *result {
+func refuseLeaving(w http.ResponseWriter, r *http.Request) *result {
+	pipeline.SayClose(r.Context())
 	w.Header()["Connection"] = []string{"close"}
 	res := notRun(ReasonLeaving, "")
 	res.expectedWait = minRetryAfter
--- a/internal/pipeline/conn_key.go
+++ b/internal/pipeline/conn_key.go
@@ -11,13 +11,21 @@
 // ConnContext returns a context that holds the part of a connection, for
 // http.Server.ConnContext.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if p := partOf(c); p != nil {
+		return context.WithValue(ctx, connKey{}, p)
+	}
+	return ctx
+}
+
+// partOf returns the part that a connection is or wraps, or nil.
+func partOf(c net.Conn) *part {
 	for {
 		if p, ok := c.(*part); ok {
-			return context.WithValue(ctx, connKey{}, p)
+			return p
 		}
 		wrapper, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
-			return ctx
+			return nil
 		}
 		c = wrapper.NetConn()
 	}
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -14,11 +14,14 @@
 	closeOnce sync.Once
 	// failed passes on errors of the underlying listener, after which it may go on.
 	failed chan error
+	// observe is called for each connection that is cut, by several goroutines at once.
+	observe func(Cut)
 }
 
-// NewListener returns a listener that splits the connections of l.
-func NewListener(l net.Listener) *Listener {
-	out := &Listener{Listener: l, accepted: make(chan net.Conn), closed: make(chan struct{}), failed: make(chan error)}
+// NewListener returns a listener that splits the connections of l. The server must call
+// ConnState. observe must be safe for concurrent use and not block.
+func NewListener(l net.Listener, observe func(Cut)) *Listener {
+	out := &Listener{Listener: l, accepted: make(chan net.Conn), closed: make(chan struct{}), failed: make(chan error), observe: observe}
 	go out.acceptAll()
 	return out
 }
--- a/internal/pipeline/part.go
+++ b/internal/pipeline/part.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -40,6 +41,9 @@
 	finished  bool
 	expired   chan struct{}
 	isExpired bool
+	// responded is set once the HTTP server has written a response after which it may
+	// use the part again, saidClose if the response says "Connection: close".
+	responded, saidClose bool
 }
 
 // Read implements net.Conn.
@@ -155,16 +159,19 @@
 	switch {
 	case p.retired:
 	case p.previous == nil:
-		p.session.leave()
+		p.end()
 	default:
 		go func() {
 			p.awaitPrevious(nil)
-			p.session.leave()
+			p.end()
 		}()
 	}
 	return nil
 }
 
+// end closes the connection, also for the parts behind.
+func (p *part) end() { p.session.cut(p.session.cutCause(p), p.session.countBehind(p)) }
+
 // CloseWrite closes the sending direction of the connection unless the part has retired.
 func (p *part) CloseWrite() error {
 	half, ok := p.session.Conn.(interface{ CloseWrite() error })
@@ -196,6 +203,20 @@
 	return p.session.Conn.(syscall.Conn).SyscallConn()
 }
 
+// ConnState records when a response is written, for http.Server.ConnState.
+func ConnState(c net.Conn, state http.ConnState) {
+	if p := partOf(c); p != nil && state == http.StateIdle {
+		p.session.setResponded(p)
+	}
+}
+
+// SayClose records that the response to the request of ctx says "Connection: close".
+func SayClose(ctx context.Context) {
+	if p := fromContext(ctx); p != nil {
+		p.session.setSaidClose(p)
+	}
+}
+
 // AwaitTurn waits until the responses to all requests before that of ctx on its
 // connection are complete. It returns false if ctx ends or the client leaves before. A
 // call that may run only once must wait: clients send again what is behind a response
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -22,19 +22,20 @@
 	// running and most count the requests that are served at the same time.
 	running, most atomic.Int64
 	canceled      atomic.Int64
+	cuts          chan Cut
 }
 
 // startServer serves requests: /wait/N takes N milliseconds, /close closes the
-// connection after the response, /turn waits for the requests before it. Each response
-// repeats the method, the path and the body.
+// connection after the response, /turn waits for the requests before it, /abort aborts its
+// response. Each response repeats the method, the path and the body.
 func startServer(t testing.TB) *server {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := NewListener(inner)
-	s := &server{addr: inner.Addr().String()}
-	h := &http.Server{ConnContext: ConnContext, ReadHeaderTimeout: 5 * time.Second, Handler: http.HandlerFunc(s.serve)}
+	s := &server{addr: inner.Addr().String(), cuts: make(chan Cut, 100)}
+	l := NewListener(inner, func(c Cut) { s.cuts <- c })
+	h := &http.Server{ConnContext: ConnContext, ConnState: ConnState, ReadHeaderTimeout: 5 * time.Second, Handler: http.HandlerFunc(s.serve)}
 	go func() { _ = h.Serve(l) }()
 	t.Cleanup(func() { _ = h.Close() })
 	return s
@@ -49,9 +50,12 @@
 	var ms int
 	switch _, _ = fmt.Sscanf(r.URL.Path, "/wait/%d", &ms); {
 	case strings.HasPrefix(r.URL.Path, "/close"):
+		SayClose(r.Context())
 		w.Header().Set("Connection", "close")
 	case strings.HasPrefix(r.URL.Path, "/turn"):
 		AwaitTurn(r.Context())
+	case strings.HasPrefix(r.URL.Path, "/abort"):
+		panic(http.ErrAbortHandler)
 	}
 	select {
 	case <-time.After(time.Duration(ms) * time.Millisecond):
@@ -167,6 +171,25 @@
 	}
 }
 
+// Guards against a connection that is closed before all requests on it are answered
+// without a report that says so, and why.
+func TestCutConnectionIsReported(t *testing.T) {
+	s := startServer(t)
+	for path, cause := range map[string]CutCause{"/abort": CutInResponse, "/close": CutByResponse} {
+		c := dial(t, s.addr)
+		_, _ = io.WriteString(c, get("/wait/100")+get(path)+get("/wait/2000")+get("/wait/2000"))
+		want := Cut{Cause: cause, Client: c.LocalAddr().String(), Unanswered: 2}
+		select {
+		case got := <-s.cuts:
+			if got != want {
+				t.Errorf("got report %+v, want %+v", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("no report of the connection that %s closes", path)
+		}
+	}
+}
+
 // Guards against calls that go on after their client has left.
 func TestLeavingClientCancelsAllItsRequests(t *testing.T) {
 	s := startServer(t)
@@ -263,8 +286,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := &http.Server{ConnContext: ConnContext, Handler: http.HandlerFunc((&server{}).serve)}
-	go func() { _ = h.Serve(NewListener(&failingListener{Listener: inner})) }()
+	h := &http.Server{ConnContext: ConnContext, ConnState: ConnState, Handler: http.HandlerFunc((&server{}).serve)}
+	go func() { _ = h.Serve(NewListener(&failingListener{Listener: inner}, func(Cut) {})) }()
 	t.Cleanup(func() { _ = h.Close() })
 	for range 3 {
 		c := dial(t, inner.Addr().String())
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -93,7 +93,7 @@
 		p := s.appendPart(head)
 		s.mu.Unlock()
 		if !s.listener.deliver(p) {
-			s.leave()
+			s.cut(CutByListener, s.countActive())
 			return
 		}
 	}
@@ -158,6 +158,7 @@
 func (s *session) resume(p *part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	p.responded = false
 	if p.finished {
 		p.finished, p.done, p.previous = false, make(chan struct{}), nil
 		s.active++
@@ -182,6 +183,69 @@
 // markLeft ends the calls of all parts.
 func (s *session) markLeft() { s.leftOnce.Do(func() { close(s.left) }) }
 
+// setResponded records that the HTTP server has written the response of a part.
+func (s *session) setResponded(p *part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.responded = true
+}
+
+// setSaidClose records that the response of a part says "Connection: close".
+func (s *session) setSaidClose(p *part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.saidClose = true
+}
+
+// cutCause returns why the HTTP server closes a part.
+func (s *session) cutCause(p *part) CutCause {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case p.responded:
+		return CutAfterResponse
+	case p.saidClose:
+		return CutByResponse
+	}
+	return CutInResponse
+}
+
+// countActive returns how many parts have no complete response.
+func (s *session) countActive() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+// countBehind returns how many parts other than p have no complete response.
+func (s *session) countBehind(p *part) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.finished {
+		return s.active
+	}
+	return s.active - 1
+}
+
+// cut ends the connection and reports the requests that are not answered for this
+// reason.
+func (s *session) cut(cause CutCause, unanswered int) {
+	if unanswered > 0 && !s.hasLeft() {
+		s.listener.observe(Cut{Cause: cause, Client: s.RemoteAddr().String(), Unanswered: unanswered})
+	}
+	s.leave()
+}
+
+// hasLeft reports whether the client has left or the connection has ended.
+func (s *session) hasLeft() bool {
+	select {
+	case <-s.left:
+		return true
+	default:
+		return false
+	}
+}
+
 // leave ends the connection for all parts.
 func (s *session) leave() {
 	s.markLeft()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -36,6 +36,7 @@
 	requests   *requestTracker
 	// guard bounds what clients make the process hold.
 	guard   *intake.Guard
+	cuts    *cutObserver
 	servers []*http.Server
 	cancel  context.CancelFunc
 }
@@ -48,6 +49,7 @@
 	n.guard = intake.NewGuard(intake.Options{
 		MemoryBytes: s.MemoryBytes, MaxDescriptors: s.MaxDescriptors, Metrics: intake.NewMetrics(registry), Log: log.Named("intake"),
 	})
+	n.cuts = newCutObserver(log.Named("pipeline"), registry)
 	store, directory, guard := snapshot.NewStore(), instance.NewDirectory(), quarantine.NewGuard()
 	applier := feed.NewApplier(a.Decoder, store, directory, log.Named("feed"))
 	table := replica.NewTable(applier.Apply)
@@ -121,10 +123,10 @@
 		return &listener.Error{Addr: addr, Err: err}
 	}
 	if clients == intake.ClassCaller {
-		l = pipeline.NewListener(l)
+		l = pipeline.NewListener(l, n.cuts.observe)
 	}
 	s := &http.Server{
-		Addr: addr, Handler: n.guard.Handler(n.requests.track(h)), ConnContext: listener.ConnContext, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes(clients),
+		Addr: addr, Handler: n.guard.Handler(n.requests.track(h)), ConnContext: listener.ConnContext, ConnState: pipeline.ConnState, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes(clients),
 		ErrorLog: n.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	n.servers = append(n.servers, s)
