pipeline, mesh: a refusal at a stop no longer cuts the calls sent ahead behind it

Cause: the refusal of a call that cannot end before the node does said "Connection: close" although calls behind it on the connection were being served. net/http closes the part of such a response, which ends the connection for all parts behind. The plan decides call by call, so a call with a shorter time limit behind a refused one is taken.

Change: a handler asks for the end of the connection instead. From then on no request is split off, those in hand get their responses, and the last response says "Connection: close"; if that one was complete already, the next one does. The cause "closing-response" of cuts is gone with it.

Why it works: a response that announces the end of the connection is the last one by construction, under the lock under which requests are split off.

--- a/internal/mesh/caller_handler.go
+++ b/internal/mesh/caller_handler.go
@@ -17,7 +17,7 @@
 func (s *Server) CallerHandler() http.Handler { return http.HandlerFunc(s.serveCaller) }
 
 func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
-	q, refused := s.readCallerRequest(w, r)
+	q, refused := s.readCallerRequest(r)
 	if refused != nil {
 		s.respondToCaller(r.Context(), w, q, refused, 0)
 		return
--- a/internal/mesh/caller_request.go
+++ b/internal/mesh/caller_request.go
@@ -17,10 +17,10 @@
 // readCallerRequest decodes a caller's request and matches its route. The
 // result is not nil if the call is refused; the request then holds what was
 // decoded so far.
-func (s *Server) readCallerRequest(w http.ResponseWriter, r *http.Request) (*request, *result) {
+func (s *Server) readCallerRequest(r *http.Request) (*request, *result) {
 	q := newRequest(r, s.cfg.HeaderNames)
 	if s.draining.Load() {
-		return q, refuseLeaving(w, r)
+		return q, refuseLeaving()
 	}
 	snap := s.cfg.Store.Current()
 	if snap == nil {
@@ -38,7 +38,7 @@
 	q.deadline = q.arrived.Add(s.allowedTime(r, route.TimeoutMs))
 	q.due = q.arrived.Add(targetLatency(route, q.rank))
 	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromCaller(q.arrived, q.deadline) {
-		return q, refuseLeaving(w, r)
+		return q, refuseLeaving()
 	}
 	if !route.Idempotent && !pipeline.AwaitTurn(r.Context()) {
 		return q, notRun(ReasonCallerLeft, "the caller left before its earlier calls had ended")
@@ -54,13 +54,12 @@
 	return q, s.bufferUnscheduled(q, r)
 }
 
-// refuseLeaving refuses a call because the node stops, and closes the connection
-// after the response, so that the caller opens its next one to another node.
-func refuseLeaving(w http.ResponseWriter, r *http.Request) *result {
-	pipeline.SayClose(r.Context())
-	w.Header()["Connection"] = []string{"close"}
+// refuseLeaving refuses a call because the node stops, and closes the connection, so
+// that the caller opens its next one to another node.
+func refuseLeaving() *result {
 	res := notRun(ReasonLeaving, "")
 	res.expectedWait = minRetryAfter
+	res.closeConnection = true
 	return res
 }
 
--- a/internal/mesh/respond.go
+++ b/internal/mesh/respond.go
@@ -10,6 +10,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/comeback"
 	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
+	"github.com/filbertpier/filbertpier/internal/pipeline"
 )
 
 // respondToCaller records the outcome of a call and writes the response to its
@@ -26,6 +27,9 @@
 	if res.kind == ResultAnswered && res.header != nil && res.status < http.StatusInternalServerError {
 		s.comeback.ObserveServed(time.Now(), comeback.Key{Service: q.service.Name, Order: q.rank.Order})
 	}
+	if closesConnection(ctx, res) {
+		w.Header()["Connection"] = []string{"close"}
+	}
 	if res.kind == ResultAnswered && res.header != nil {
 		s.writeResponse(ctx, w, res)
 		return
@@ -37,6 +41,15 @@
 	writeEmpty(w, callerStatus(res))
 }
 
+// closesConnection reports whether the caller's connection is closed after the response:
+// because of this result, or because of that of a call ahead on the connection.
+func closesConnection(ctx context.Context, res *result) bool {
+	if res.closeConnection {
+		return pipeline.BeginClose(ctx)
+	}
+	return pipeline.ClosesAfter(ctx)
+}
+
 // closeIfBodyUnread closes the connection after the refusal of a call whose body found
 // no memory, instead of reading the rest of it.
 func closeIfBodyUnread(w http.ResponseWriter, res *result) {
--- a/internal/mesh/result.go
+++ b/internal/mesh/result.go
@@ -28,6 +28,9 @@
 	// expectedWait is the refusing node's estimate of how long it remains too
 	// busy for the call.
 	expectedWait time.Duration
+	// closeConnection is set if the caller's connection is to be closed after the calls
+	// that are being served on it.
+	closeConnection bool
 	// nodeLost is set if the node beside the instance cannot be reached.
 	nodeLost bool
 	// reachedUpstream is set if a call that was not run had reached the
--- a/internal/pipeline/cut_cause.go
+++ b/internal/pipeline/cut_cause.go
@@ -6,12 +6,11 @@
 
 // The causes.
 const (
-	// CutByResponse: a response said "Connection: close".
-	CutByResponse CutCause = "closing-response"
 	// CutAfterResponse: the HTTP server closed the connection after a complete response,
 	// as it does while it shuts down.
 	CutAfterResponse CutCause = "after-response"
-	// CutInResponse: a response was aborted, or its connection evicted.
+	// CutInResponse: a response was aborted, its connection evicted, or the HTTP server
+	// closed the connection with it on its own account, as for a malformed request.
 	CutInResponse CutCause = "incomplete-response"
 	// CutByListener: the listener was closed when a further request arrived.
 	CutByListener CutCause = "listener-closed"
--- a/internal/pipeline/part.go
+++ b/internal/pipeline/part.go
@@ -42,8 +42,8 @@
 	expired   chan struct{}
 	isExpired bool
 	// responded is set once the HTTP server has written a response after which it may
-	// use the part again, saidClose if the response says "Connection: close".
-	responded, saidClose bool
+	// use the part again.
+	responded bool
 }
 
 // Read implements net.Conn.
@@ -210,11 +210,24 @@
 	}
 }
 
-// SayClose records that the response to the request of ctx says "Connection: close".
-func SayClose(ctx context.Context) {
-	if p := fromContext(ctx); p != nil {
-		p.session.setSaidClose(p)
+// BeginClose asks for the connection of ctx to be closed, and reports like ClosesAfter
+// whether that is to happen after the response to the request of ctx.
+func BeginClose(ctx context.Context) bool {
+	p := fromContext(ctx)
+	if p == nil {
+		return true
 	}
+	p.session.beginClose()
+	return p.session.closesAfter(p)
+}
+
+// ClosesAfter reports whether the response to the request of ctx must say "Connection:
+// close", because BeginClose was called for the connection and no request behind is being
+// served. A response that says so earlier takes the requests behind it along, whose
+// clients then do not learn that they have run.
+func ClosesAfter(ctx context.Context) bool {
+	p := fromContext(ctx)
+	return p != nil && p.session.closesAfter(p)
 }
 
 // AwaitTurn waits until the responses to all requests before that of ctx on its
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -29,6 +29,9 @@
 	ahead []byte
 	// active counts the parts whose response is not complete.
 	active int
+	// closing is set once a response has asked for the end of the connection. No further
+	// request is split off, and the response to the last one says "Connection: close".
+	closing bool
 	// changed is closed and replaced when active falls or last changes.
 	changed chan struct{}
 }
@@ -76,12 +79,13 @@
 	s.split()
 }
 
-// split delivers parts for the requests that are complete, up to maxParts.
+// split delivers parts for the requests that are complete, up to maxParts, unless the
+// connection is closing.
 func (s *session) split() {
 	for {
 		s.mu.Lock()
 		n := 0
-		if s.active < maxParts {
+		if s.active < maxParts && !s.closing {
 			n = leadingHead(s.ahead)
 		}
 		if n == 0 {
@@ -190,22 +194,26 @@
 	p.responded = true
 }
 
-// setSaidClose records that the response of a part says "Connection: close".
-func (s *session) setSaidClose(p *part) {
+// beginClose asks for the connection to end after the last part.
+func (s *session) beginClose() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.saidClose = true
+	s.closing = true
+}
+
+// closesAfter reports whether the connection ends after p.
+func (s *session) closesAfter(p *part) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing && s.last == p
 }
 
 // cutCause returns why the HTTP server closes a part.
 func (s *session) cutCause(p *part) CutCause {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case p.responded:
+	if p.responded {
 		return CutAfterResponse
-	case p.saidClose:
-		return CutByResponse
 	}
 	return CutInResponse
 }
--- /dev/null
+++ b/internal/sidecar/stop_sent_ahead_test.go
@@ -0,0 +1,89 @@
+package sidecar_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// aheadCall is a call that is sent ahead on a connection.
+type aheadCall struct {
+	path string
+	// left is how long its caller waits for it.
+	left time.Duration
+	// want is the status that it must get.
+	want int
+}
+
+// sendAhead sends calls in one piece.
+func (c *caller) sendAhead(calls ...aheadCall) {
+	c.t.Helper()
+	var text strings.Builder
+	for _, q := range calls {
+		_, _ = fmt.Fprintf(&text, "GET %s HTTP/1.1\r\nHost: h\r\nId: %d\r\nLeft: %d\r\n\r\n", q.path, lastAttemptID.Add(1), q.left.Milliseconds())
+	}
+	if _, err := io.WriteString(c.conn, text.String()); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// expectAll reads the responses to calls sent ahead. It returns whether the last one
+// closes the connection, and fails the test if one is missing or another one does.
+func (c *caller) expectAll(calls ...aheadCall) (closed bool) {
+	c.t.Helper()
+	r := bufio.NewReader(c.conn)
+	for _, q := range calls {
+		if closed {
+			c.t.Errorf("the response before that to %s closed the connection", q.path)
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			c.t.Errorf("no response to %s: %v", q.path, err)
+			return true
+		}
+		body, err := io.ReadAll(resp.Body)
+		if resp.StatusCode != q.want || err != nil || q.want == http.StatusOK && string(body) != "done "+q.path {
+			c.t.Errorf("%s: got status %d with body %q and error %v, want status %d", q.path, resp.StatusCode, body, err, q.want)
+		}
+		closed = resp.Close
+	}
+	return closed
+}
+
+// Guards against the refusal of a call at a planned stop that closes the connection for
+// the calls sent ahead behind it, which the node has taken and the upstream has run.
+func TestRefusalAtStopLeavesCallsBehindItTheirResponses(t *testing.T) {
+	f := newFleet(t)
+	body := sectionBody("a")
+	body.Routes[0].TimeoutMs = 20_000
+	f.store.put("config", version{Number: 2, Body: body})
+	a := f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/first") {
+			time.Sleep(600 * time.Millisecond)
+		}
+		respondAfter(0)(w, r)
+	})
+	// The node takes short calls from 2.5 to 4 s into the stop and cancels them at 7.2 s.
+	const arrival = 2700 * time.Millisecond
+	a.settings.StopGracePeriod = 8 * time.Second
+	a.start()
+	f.awaitServing("/safe/x")
+	c := a.newCaller(t)
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); a.node.Stop() }()
+	time.Sleep(arrival)
+	calls := []aheadCall{
+		{path: "/safe/first", left: 4 * time.Second, want: http.StatusOK},
+		{path: "/safe/refused", left: 10 * time.Second, want: http.StatusServiceUnavailable},
+		{path: "/safe/last", left: 4 * time.Second, want: http.StatusOK},
+	}
+	c.sendAhead(calls...)
+	if !c.expectAll(calls...) {
+		t.Error("the last response does not close the connection to the node that stops")
+	}
+	<-stopped
+}
