sidecar: a planned stop waits until responses are written, not until handlers return

Cause: Node.Stop called http.Server.Shutdown once no handler ran. Short responses to calls sent ahead then still lie in net/http's buffers until their turn has come; while it shuts down, net/http closes each connection after its current response, and with it all calls behind on it.

Change: the stop waits for connections on which a response is not written, by the server's ConnState hook. fpnode had this mechanism; listener.ConnTracker is that one, with its state in shards, and serves both programs. The count of handlers is gone.

Why it works: a connection of a call sent ahead counts as busy from its head until its response is written, so Shutdown begins with none that waits.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,7 +53,7 @@
 	listener   *callListener
 	// shutdownOnce guards listener.shutdown.
 	shutdownOnce sync.Once
-	conns        *connTracker
+	conns        *listener.ConnTracker
 	callServer   *http.Server
 	// guard bounds what clients make the process hold; stopGuard ends its Run.
 	guard       *intake.Guard
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, log: log, metrics: telemetry.NewMetrics(), conns: newConnTracker()}
+	n := &Node{settings: s, log: log, metrics: telemetry.NewMetrics(), conns: listener.NewConnTracker()}
 	n.guard = intake.NewGuard(intake.Options{
 		MemoryBytes: s.MemoryBytes, MaxDescriptors: s.MaxDescriptors, Metrics: intake.NewMetrics(n.metrics.Registry), Log: log.Named("intake"),
 	})
@@ -122,7 +122,7 @@
 	if n.listener, err = listen(n.settings.Listen.Calls); err != nil {
 		return err
 	}
-	n.callServer = serve(n.guard.Listener(n.listener, intake.ClassCaller), n.guard.Handler(n.dataPlane), n.conns.setState)
+	n.callServer = serve(n.guard.Listener(n.listener, intake.ClassCaller), n.guard.Handler(n.dataPlane), n.conns.SetState)
 	if n.adminServer, err = n.serveAdmin(); err != nil {
 		n.listener.shutdown()
 		_ = n.callServer.Close()
@@ -163,7 +163,7 @@
 	defer cancel()
 	n.shutdownOnce.Do(n.listener.shutdown)
 	n.callServer.SetKeepAlivesEnabled(false)
-	n.conns.waitIdle(ctx, firstRequestTimeout)
+	n.conns.WaitIdle(ctx, firstRequestTimeout)
 	n.Close()
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -33,7 +33,7 @@
 	reader   *replica.Reader
 	// peerServer lets other nodes read the published items from this node.
 	peerServer *peers.Server
-	requests   *requestTracker
+	conns      *listener.ConnTracker
 	// guard bounds what clients make the process hold.
 	guard   *intake.Guard
 	cuts    *cutObserver
@@ -44,7 +44,7 @@
 // Start opens the node's ports and begins to read the published items. Its
 // errors are *listener.Error and *peers.CodecError.
 func Start(s *settings.Sidecar, a Adapter, log hclog.Logger) (*Node, error) {
-	n := &Node{settings: s, log: log, requests: newRequestTracker()}
+	n := &Node{settings: s, log: log, conns: listener.NewConnTracker()}
 	registry := prometheus.NewRegistry()
 	n.guard = intake.NewGuard(intake.Options{
 		MemoryBytes: s.MemoryBytes, MaxDescriptors: s.MaxDescriptors, Metrics: intake.NewMetrics(registry), Log: log.Named("intake"),
@@ -126,7 +126,7 @@
 		l = pipeline.NewListener(l, n.cuts.observe)
 	}
 	s := &http.Server{
-		Addr: addr, Handler: n.guard.Handler(n.requests.track(h)), ConnContext: listener.ConnContext, ConnState: pipeline.ConnState, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes(clients),
+		Addr: addr, Handler: n.guard.Handler(h), ConnContext: listener.ConnContext, ConnState: n.setConnState, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes(clients),
 		ErrorLog: n.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	n.servers = append(n.servers, s)
@@ -134,6 +134,12 @@
 	return nil
 }
 
+// setConnState records the state of a connection, for http.Server.ConnState.
+func (n *Node) setConnState(c net.Conn, state http.ConnState) {
+	pipeline.ConnState(c, state)
+	n.conns.SetState(c, state)
+}
+
 // maxOperatorHeaderBytes bounds the head of a readiness check or a request for metrics,
 // which has few header fields.
 const maxOperatorHeaderBytes = 16 << 10
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -10,9 +10,9 @@
 
 // Stop marks the node unready and serves until callers have had time to switch
 // to other nodes, by then only what it can finish. Then it refuses new calls,
-// because some callers keep sending them, and waits for the calls in flight. Those
-// that take too long are canceled and get an error response. The node is closed
-// within its stop time.
+// because some callers keep sending them, and waits until the responses to the calls in
+// flight are written. Calls that take too long are canceled and get an error response.
+// The node is closed within its stop time.
 func (n *Node) Stop() {
 	began := time.Now()
 	plan := stopping.NewPlan(began, n.settings.StopGracePeriod)
@@ -20,16 +20,23 @@
 	timer := time.NewTimer(time.Until(plan.Drain))
 	<-timer.C
 	n.server.Drain()
-	idle := n.requests.waitIdle(time.Until(plan.Cancel))
+	idle := n.waitIdle(plan.Cancel)
 	if !idle {
 		n.server.CancelCalls()
-		n.requests.waitIdle(time.Until(plan.Close))
+		n.waitIdle(plan.Close)
 	}
 	n.shutdown()
 	n.log.Info("node stopped", "idle", idle, "after_ms", time.Since(began).Milliseconds())
 	n.Close()
 }
 
+// waitIdle returns true once all responses are written, or false at limit.
+func (n *Node) waitIdle(limit time.Time) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	return n.conns.WaitIdle(ctx, 0)
+}
+
 // shutdown closes the listeners and lets the HTTP servers send their last
 // responses for up to stopping.FlushTime.
 func (n *Node) shutdown() {
--- a/internal/sidecar/stop_sent_ahead_test.go
+++ b/internal/sidecar/stop_sent_ahead_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/instance"
 )
 
 // aheadCall is a call that is sent ahead on a connection.
@@ -87,3 +89,44 @@
 	}
 	<-stopped
 }
+
+// Guards against a stop that closes connections once all handlers have returned: the
+// responses to calls sent ahead then still wait for their turn.
+func TestStopSendsResponsesThatWaitForTheirTurn(t *testing.T) {
+	const connections, callsPerConnection = 12, 8
+	f := newFleet(t)
+	body := sectionBody("a")
+	body.Services[0].Connections = 200
+	f.store.put("config", version{Number: 2, Body: body})
+	release := make(chan struct{})
+	a := f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/first") {
+			<-release
+		}
+		respondAfter(0)(w, r)
+	})
+	f.store.put("up/"+a.id, instance.Instance{ID: a.id, Service: "a", Addr: a.addr(0), Zone: "z1", Region: "r", Slots: connections * callsPerConnection, State: instance.Ready})
+	a.start()
+	f.awaitServing("/safe/x")
+	before := a.runs.Load()
+	calls := []aheadCall{{path: "/safe/first", left: 2500 * time.Millisecond, want: http.StatusOK}}
+	for range callsPerConnection - 1 {
+		calls = append(calls, aheadCall{path: "/safe/next", left: 2500 * time.Millisecond, want: http.StatusOK})
+	}
+	var callers []*caller
+	for range connections {
+		c := a.newCaller(t)
+		c.sendAhead(calls...)
+		callers = append(callers, c)
+	}
+	await(t, "all calls to run", func() bool { return a.runs.Load()-before == connections*callsPerConnection })
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); a.node.Stop() }()
+	// The node refuses new calls from 1.5 s into the stop and cancels calls at 2.45 s.
+	time.Sleep(1800 * time.Millisecond)
+	close(release)
+	for _, c := range callers {
+		c.expectAll(calls...)
+	}
+	<-stopped
+}
