pipeline: a complete response leaves the connection to those behind it

Callers would see: if responses still wait for their turn at the end of the stop time, the forced shutdown cuts those that could be written; the same happened if a call arrived after the listener had closed.

Cause: closing a part ended the connection for all parts, whether or not its response was complete, and a part that could not be delivered did so at once.

Change: a part whose response is complete, as ConnState reports it, no longer ends a connection that others still use; an undelivered part closes it behind the responses before. Closes "after-response" and "listener-closed" cannot happen any more, so reports of cut connections have one cause left and name none. The field previous of a part, which Close read without a lock, is guarded.

--- a/internal/pipeline/cut.go
+++ b/internal/pipeline/cut.go
@@ -1,12 +1,11 @@
 package pipeline
 
-// Cut describes a connection that this process closed although requests sent ahead on it
-// had no complete response. The client gets none for them.
+// Cut describes a connection that this process closed with a response that was aborted or
+// not the last one, although requests sent ahead behind it were not answered yet. The
+// client gets no answer to them.
 type Cut struct {
-	Cause CutCause
 	// Client is the address of the client.
 	Client string
-	// Unanswered counts the requests without a complete response, besides the one whose
-	// response was the last.
+	// Unanswered counts the requests behind the closing response.
 	Unanswered int
 }
--- a/internal/pipeline/part.go
+++ b/internal/pipeline/part.go
@@ -20,8 +20,6 @@
 // reads at a time.
 type part struct {
 	session *session
-	// previous is closed when the response before is complete; nil if there is none.
-	previous <-chan struct{}
 	// unread is the request of a part that was split off, as far as it is unread.
 	unread []byte
 	// boundary is set if the next byte begins a request. It stays false once the
@@ -31,19 +29,15 @@
 	// bodiless is set from the end of the head of a request without a body until its
 	// response is complete.
 	bodiless bool
-	// retired is set once net/http was told that the part ends, because a later part
-	// reads from the connection.
-	retired bool
 
-	// session.mu guards the fields below. done is closed when the response of the current
-	// request is complete, expired while the read deadline has passed.
+	// session.mu guards the fields below. previous is closed when the response before is
+	// complete; nil if there is none. done is closed when the response of the current
+	// request is, expired while the read deadline has passed.
+	previous  <-chan struct{}
 	done      chan struct{}
 	finished  bool
 	expired   chan struct{}
 	isExpired bool
-	// responded is set once the HTTP server has written a response after which it may
-	// use the part again.
-	responded bool
 }
 
 // Read implements net.Conn.
@@ -58,9 +52,7 @@
 	}
 	if p.bodiless {
 		// net/http asks for the next request once it has written the response.
-		p.session.finish(p)
 		if !p.session.isLast(p) {
-			p.retired = true
 			return 0, io.EOF
 		}
 		p.bodiless, p.boundary = false, true
@@ -140,11 +132,12 @@
 // awaitPrevious waits until the response before is complete. It returns false if the
 // client leaves or canceled is closed before.
 func (p *part) awaitPrevious(canceled <-chan struct{}) bool {
-	if p.previous == nil {
+	previous := p.session.previousOf(p)
+	if previous == nil {
 		return true
 	}
 	select {
-	case <-p.previous:
+	case <-previous:
 		return true
 	case <-p.session.left:
 		return false
@@ -154,28 +147,27 @@
 }
 
 // Close implements net.Conn. It closes the connection, after the responses before, unless
-// the part has retired. What was sent behind is then known not to be answered.
+// the response is complete and there are parts behind. What was sent behind is then known
+// not to be answered.
 func (p *part) Close() error {
 	switch {
-	case p.retired:
-	case p.previous == nil:
-		p.end()
+	case !p.session.endsWith(p):
+	case p.session.previousOf(p) == nil:
+		p.session.cut(p)
 	default:
 		go func() {
 			p.awaitPrevious(nil)
-			p.end()
+			p.session.cut(p)
 		}()
 	}
 	return nil
 }
 
-// end closes the connection, also for the parts behind.
-func (p *part) end() { p.session.cut(p.session.cutCause(p), p.session.countBehind(p)) }
-
-// CloseWrite closes the sending direction of the connection unless the part has retired.
+// CloseWrite closes the sending direction of the connection unless the response is
+// complete and there are parts behind.
 func (p *part) CloseWrite() error {
 	half, ok := p.session.Conn.(interface{ CloseWrite() error })
-	if p.retired || !ok {
+	if !ok || !p.session.endsWith(p) {
 		return nil
 	}
 	return half.CloseWrite()
@@ -206,7 +198,7 @@
 // ConnState records when a response is written, for http.Server.ConnState.
 func ConnState(c net.Conn, state http.ConnState) {
 	if p := partOf(c); p != nil && state == http.StateIdle {
-		p.session.setResponded(p)
+		p.session.finish(p)
 	}
 }
 
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -97,7 +97,8 @@
 		p := s.appendPart(head)
 		s.mu.Unlock()
 		if !s.listener.deliver(p) {
-			s.cut(CutByListener, s.countActive())
+			// Not served, so the client may send it again; those ahead get their responses.
+			_ = p.Close()
 			return
 		}
 	}
@@ -146,7 +147,8 @@
 	return s.Conn.SetReadDeadline(t)
 }
 
-// finish records that the response of a part is complete.
+// finish records that the response of a part is complete, so that the next part may
+// write its own.
 func (s *session) finish(p *part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -162,7 +164,6 @@
 func (s *session) resume(p *part) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.responded = false
 	if p.finished {
 		p.finished, p.done, p.previous = false, make(chan struct{}), nil
 		s.active++
@@ -187,13 +188,6 @@
 // markLeft ends the calls of all parts.
 func (s *session) markLeft() { s.leftOnce.Do(func() { close(s.left) }) }
 
-// setResponded records that the HTTP server has written the response of a part.
-func (s *session) setResponded(p *part) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p.responded = true
-}
-
 // beginClose asks for the connection to end after the last part.
 func (s *session) beginClose() {
 	s.mu.Lock()
@@ -208,21 +202,20 @@
 	return s.closing && s.last == p
 }
 
-// cutCause returns why the HTTP server closes a part.
-func (s *session) cutCause(p *part) CutCause {
+// endsWith reports whether the connection ends when p is closed. A part whose response is
+// complete leaves the connection to those behind it.
+func (s *session) endsWith(p *part) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.responded {
-		return CutAfterResponse
-	}
-	return CutInResponse
+	return !p.finished || s.last == p
 }
 
-// countActive returns how many parts have no complete response.
-func (s *session) countActive() int {
+// previousOf returns the channel that is closed when the response before p is complete,
+// or nil if there is none.
+func (s *session) previousOf(p *part) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.active
+	return p.previous
 }
 
 // countBehind returns how many parts other than p have no complete response.
@@ -235,11 +228,10 @@
 	return s.active - 1
 }
 
-// cut ends the connection and reports the requests that are not answered for this
-// reason.
-func (s *session) cut(cause CutCause, unanswered int) {
-	if unanswered > 0 && !s.hasLeft() {
-		s.listener.observe(Cut{Cause: cause, Client: s.RemoteAddr().String(), Unanswered: unanswered})
+// cut ends the connection because p is closed, and reports the requests behind it.
+func (s *session) cut(p *part) {
+	if n := s.countBehind(p); n > 0 && !s.hasLeft() {
+		s.listener.observe(Cut{Client: s.RemoteAddr().String(), Unanswered: n})
 	}
 	s.leave()
 }
