mesh: a stopping node refuses a non-idempotent call whose turn comes too late

Callers would see: 502 for a call that may run only once, was sent ahead and ran to no end, because the node passed it on late in its stop and then cancelled it.

Cause: the plan of the stop was asked when the call arrived; the call then waited for the responses ahead of it before it was passed on.

Change: the plan is asked after the wait, with the time at which the call would begin, and again whether the node takes calls at all.

--- a/internal/mesh/caller_request.go
+++ b/internal/mesh/caller_request.go
@@ -37,12 +37,12 @@
 	q.service, _ = snap.Document.Service(s.trafficSplits.Choose(route))
 	q.deadline = q.arrived.Add(s.allowedTime(r, route.TimeoutMs))
 	q.due = q.arrived.Add(targetLatency(route, q.rank))
-	if plan := s.stopPlan.Load(); plan != nil && !plan.TakesFromCaller(q.arrived, q.deadline) {
-		return q, refuseLeaving()
-	}
 	if !route.Idempotent && !pipeline.AwaitTurn(r.Context()) {
 		return q, notRun(ReasonCallerLeft, "the caller left before its earlier calls had ended")
 	}
+	if s.stopsBefore(q.deadline) {
+		return q, refuseLeaving()
+	}
 	if limit := snap.Document.CallerLimits().MaxBodyBytes; limit > 0 && r.ContentLength > limit {
 		return q, &result{kind: ResultAnswered, reason: ReasonBodyTooLarge, status: http.StatusRequestEntityTooLarge}
 	}
@@ -54,6 +54,13 @@
 	return q, s.bufferUnscheduled(q, r)
 }
 
+// stopsBefore reports whether a planned stop leaves no time for a call that begins now,
+// which may be later than it arrived.
+func (s *Server) stopsBefore(deadline time.Time) bool {
+	plan := s.stopPlan.Load()
+	return plan != nil && (s.draining.Load() || !plan.TakesFromCaller(time.Now(), deadline))
+}
+
 // refuseLeaving refuses a call because the node stops, and closes the connection, so
 // that the caller opens its next one to another node.
 func refuseLeaving() *result {
--- a/internal/sidecar/stop_sent_ahead_test.go
+++ b/internal/sidecar/stop_sent_ahead_test.go
@@ -130,3 +130,37 @@
 	}
 	<-stopped
 }
+
+// Guards against a call that may run only once, was sent ahead and is passed on after its
+// turn although the node takes no calls any more: the end of the stop breaks it off, and
+// its caller does not learn whether it has run.
+func TestStopRefusesNonIdempotentCallWhoseTurnComesLate(t *testing.T) {
+	f := newFleet(t)
+	a := f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/once/") {
+			time.Sleep(1500 * time.Millisecond)
+		}
+		if strings.HasSuffix(r.URL.Path, "/first") {
+			time.Sleep(1900 * time.Millisecond)
+		}
+		respondAfter(0)(w, r)
+	}).start()
+	entry := f.add("b", "z1", respondAfter(0)).start()
+	f.awaitServing("/safe/x")
+	c := entry.newCaller(t)
+	calls := []aheadCall{
+		{path: "/safe/first", left: 2500 * time.Millisecond, want: http.StatusOK},
+		{path: "/once/x", left: 3 * time.Second, want: http.StatusServiceUnavailable},
+	}
+	before := a.runs.Load()
+	c.sendAhead(calls...)
+	await(t, "the first call to run", func() bool { return a.runs.Load() > before })
+	stopped := make(chan struct{})
+	// The node takes no new calls from 1.5 s into the stop and cancels calls at 2.45 s.
+	go func() { defer close(stopped); entry.node.Stop() }()
+	c.expectAll(calls...)
+	<-stopped
+	if n := a.runs.Load() - before; n != 1 {
+		t.Errorf("%d calls ran, want the first one only", n)
+	}
+}
