ctl/fleet: one loop over the responses of all nodes

Cause: the lists of states and of upstreams each had the loop that keeps the responses of the nodes which answered, in their order.

Change: collect is that loop.

Measured: the tests of ctl/fleet and fpctl pass with the race detector.

--- a/internal/ctl/fleet/responses.go
+++ b/internal/ctl/fleet/responses.go
@@ -28,3 +28,15 @@
 	}
 	return &Error{Failed: a.failed, Total: len(a.values)}
 }
+
+// collect returns what item makes of the response of each node that answered, in the order
+// of the nodes.
+func collect[T, R any](c *Client, a *responses[T], item func(node string, value T) R) []R {
+	items := []R{}
+	for i, value := range a.values {
+		if a.ok[i] {
+			items = append(items, item(c.nodes[i], value))
+		}
+	}
+	return items
+}
--- a/internal/ctl/fleet/status_list.go
+++ b/internal/ctl/fleet/status_list.go
@@ -20,13 +20,8 @@
 // an *Error and the list of the others.
 func (c *Client) Status(ctx context.Context) (*StatusList, error) {
 	a := requestAll[admin.Status](ctx, c, http.MethodGet, "/v1/status")
-	r := &StatusList{Nodes: []NodeStatus{}}
-	for i, s := range a.values {
-		if a.ok[i] {
-			r.Nodes = append(r.Nodes, NodeStatus{Node: c.nodes[i], Status: s})
-		}
-	}
-	return r, a.err()
+	nodes := collect(c, a, func(node string, s admin.Status) NodeStatus { return NodeStatus{Node: node, Status: s} })
+	return &StatusList{Nodes: nodes}, a.err()
 }
 
 // Text writes a table with one row per node.
--- a/internal/ctl/fleet/upstream_list.go
+++ b/internal/ctl/fleet/upstream_list.go
@@ -20,13 +20,8 @@
 // node does not answer, it returns an *Error and the list of the others.
 func (c *Client) Upstreams(ctx context.Context) (*UpstreamList, error) {
 	a := requestAll[admin.Limits](ctx, c, http.MethodGet, "/v1/limits")
-	r := &UpstreamList{Upstreams: []Upstream{}}
-	for i, l := range a.values {
-		if a.ok[i] {
-			r.Upstreams = append(r.Upstreams, Upstream{Node: c.nodes[i], Limits: l})
-		}
-	}
-	return r, a.err()
+	upstreams := collect(c, a, func(node string, l admin.Limits) Upstream { return Upstream{Node: node, Limits: l} })
+	return &UpstreamList{Upstreams: upstreams}, a.err()
 }
 
 // Text writes a table with one row per upstream and service.
