pipeline, listener: functions for handlers in a file of their own; docs

Cause: part.go held the functions that HTTP servers and handlers call besides the connection of a part, and the package table and the doc of listener did not name the tracker of connections.

Measured: the tests of both packages pass with the race detector.

--- a/internal/listener/error.go
+++ b/internal/listener/error.go
@@ -1,5 +1,6 @@
 // Package listener holds what the servers of all programs share: the error that they
-// return when they cannot listen on their address, and the context of connections.
+// return when they cannot listen on their address, the context of connections, and the
+// connections that a planned stop waits for.
 package listener
 
 // Error reports that a server cannot listen on Addr.
--- a/internal/pipeline/conn_key.go
+++ b/internal/pipeline/conn_key.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 )
 
 // connKey is the context key of a *part.
@@ -17,6 +18,13 @@
 	return ctx
 }
 
+// ConnState records when a response is written, for http.Server.ConnState.
+func ConnState(c net.Conn, state http.ConnState) {
+	if p := partOf(c); p != nil && state == http.StateIdle {
+		p.session.finish(p)
+	}
+}
+
 // partOf returns the part that a connection is or wraps, or nil.
 func partOf(c net.Conn) *part {
 	for {
