--- a/tools/faultsoak/soak_test.go
+++ b/tools/faultsoak/soak_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bufio"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os/exec"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -88,3 +91,36 @@
 		}
 	}
 }
+
+// Guards against a check that misses a request sent ahead which was executed and got no
+// response, and against one that reports a request which was not passed on.
+func TestLostRequestsSentAheadAreReported(t *testing.T) {
+	for executions := range 2 {
+		tb := &testbed{ledger: newLedger(), violations: &violationLog{start: time.Now()}}
+		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get(headerNames.AttemptID)
+			w.Header().Set(headerNames.AttemptID, id)
+			w.Header().Set(headerNames.Seal, seal(id, []byte("body")))
+			w.Header().Set("Connection", "close")
+			_, _ = w.Write([]byte("body"))
+		}))
+		c := newAheadCaller(&vm{testbed: tb})
+		var err error
+		if c.conn, err = net.Dial("tcp", strings.TrimPrefix(node.URL, "http://")); err != nil {
+			t.Fatal(err)
+		}
+		c.reader = bufio.NewReader(c.conn)
+		for i := range maxSentAhead {
+			tb.ledger.update(c.name+"/0."+strconv.Itoa(i), func(a *attempt) { a.executions = executions })
+		}
+		c.sendBatch(0)
+		node.Close()
+		got := tb.violations.all()
+		if executions == 0 && len(got) > 0 {
+			t.Errorf("got %v for requests that were not passed on, want no violation", got)
+		}
+		if executions > 0 && (len(got) == 0 || got[0].Rule != "LOST") {
+			t.Errorf("got %v for requests that were executed, want violations of rule LOST", got)
+		}
+	}
+}
--- a/tools/faultsoak/testbed.go
+++ b/tools/faultsoak/testbed.go
@@ -155,17 +155,10 @@
 func (tb *testbed) startCallers(ctx context.Context, wg *sync.WaitGroup) {
 	for _, m := range tb.vms {
 		for n := range callersPerVM {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				newCaller(m, n).run(ctx)
-			}()
+			wg.Go(func() { newCaller(m, n).run(ctx) })
 		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			newVersionProbe(m).run(ctx)
-		}()
+		wg.Go(func() { newAheadCaller(m).run(ctx) })
+		wg.Go(func() { newVersionProbe(m).run(ctx) })
 	}
 }
 
