pipeline: nothing is served behind a request that found no room

Callers would see: no answer to calls sent ahead that upstreams have run, if a call before them on the connection finds no room.

Cause: intake counts each request sent ahead as a connection and closes those for which there is no room. That ends the caller's connection after the responses before, but requests behind were still split off and served if room came back.

Change: a part that is closed before its request is read marks the connection: no part behind it is served or split off, and callers send those requests again.

--- a/internal/pipeline/close_test.go
+++ b/internal/pipeline/close_test.go
@@ -47,11 +47,19 @@
 func (s *refusingServer) awaitStarted(t *testing.T, n int) {
 	t.Helper()
 	for range n {
-		select {
-		case <-s.started:
-		case <-time.After(5 * time.Second):
-			t.Fatal("timed out waiting for a request to start")
-		}
+		awaitStart(t, s.started)
+	}
+}
+
+// awaitStart returns the path of the next request that starts.
+func awaitStart(t *testing.T, started <-chan string) string {
+	t.Helper()
+	select {
+	case path := <-started:
+		return path
+	case <-time.After(5 * time.Second):
+		t.Fatal("timed out waiting for a request to start")
+		return ""
 	}
 }
 
--- a/internal/pipeline/part.go
+++ b/internal/pipeline/part.go
@@ -18,6 +18,8 @@
 // reads at a time.
 type part struct {
 	session *session
+	// number is the position of the part on its connection, from 1.
+	number int
 	// unread is the request of a part that was split off, as far as it is unread.
 	unread []byte
 	// boundary is set if the next byte begins a request. It stays false once the
@@ -31,9 +33,11 @@
 	// session.mu guards the fields below. previous is closed when the response before is
 	// complete; nil if there is none. done is closed when the response of the current
 	// request is, expired while the read deadline has passed.
-	previous  <-chan struct{}
-	done      chan struct{}
-	finished  bool
+	previous <-chan struct{}
+	done     chan struct{}
+	finished bool
+	// begun is set once the request of a part that was split off is read.
+	begun     bool
 	expired   chan struct{}
 	isExpired bool
 }
@@ -41,6 +45,9 @@
 // Read implements net.Conn.
 func (p *part) Read(b []byte) (int, error) {
 	if len(p.unread) > 0 {
+		if !p.session.begin(p) {
+			return 0, io.EOF
+		}
 		n := copy(b, p.unread)
 		p.unread, p.bodiless = p.unread[n:], true
 		return n, nil
@@ -148,6 +155,7 @@
 // the response is complete and there are parts behind. What was sent behind is then known
 // not to be answered.
 func (p *part) Close() error {
+	p.session.endBefore(p)
 	switch {
 	case !p.session.endsWith(p):
 	case p.session.previousOf(p) == nil:
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -39,7 +39,7 @@
 }
 
 // serve serves connections of a listener until the test ends.
-func serve(t testing.TB, l *Listener, h http.HandlerFunc) *http.Server {
+func serve(t testing.TB, l net.Listener, h http.HandlerFunc) *http.Server {
 	out := &http.Server{ConnContext: ConnContext, ConnState: ConnState, ReadHeaderTimeout: 5 * time.Second, Handler: h}
 	go func() { _ = out.Serve(l) }()
 	t.Cleanup(func() { _ = out.Close() })
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -32,12 +33,16 @@
 	// closing is set once a response has asked for the end of the connection. No further
 	// request is split off, and the response to the last one says "Connection: close".
 	closing bool
+	// parts counts the parts. Those numbered above lastServed may not be served: a part was
+	// closed before its request was read, for lack of room or because the listener had
+	// closed, and the connection ends with it.
+	parts, lastServed int
 	// changed is closed and replaced when active falls or last changes.
 	changed chan struct{}
 }
 
 func newSession(l *Listener, c net.Conn) *session {
-	return &session{Conn: c, listener: l, left: make(chan struct{}), changed: make(chan struct{})}
+	return &session{Conn: c, listener: l, left: make(chan struct{}), changed: make(chan struct{}), lastServed: math.MaxInt}
 }
 
 // first returns the part that stands for the connection as long as nothing is sent
@@ -46,13 +51,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.appendPart(nil)
-	p.boundary = true
+	p.boundary, p.begun = true, true
 	return p
 }
 
 // appendPart adds a part for a request. The caller holds mu.
 func (s *session) appendPart(head []byte) *part {
-	p := &part{session: s, unread: head, done: make(chan struct{}), expired: make(chan struct{})}
+	s.parts++
+	p := &part{session: s, number: s.parts, unread: head, done: make(chan struct{}), expired: make(chan struct{})}
 	if s.last != nil {
 		p.previous = s.last.done
 	}
@@ -80,12 +86,12 @@
 }
 
 // split delivers parts for the requests that are complete, up to maxParts, unless the
-// connection is closing.
+// connection is about to end.
 func (s *session) split() {
 	for {
 		s.mu.Lock()
 		n := 0
-		if s.active < maxParts && !s.closing {
+		if s.active < maxParts && !s.closing && s.parts < s.lastServed {
 			n = leadingHead(s.ahead)
 		}
 		if n == 0 {
@@ -202,6 +208,25 @@
 	return s.closing && s.last == p
 }
 
+// begin records that the request of p, which was split off, is read. It returns false if
+// the request may not be served.
+func (s *session) begin(p *part) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.begun = p.number <= s.lastServed
+	return p.begun
+}
+
+// endBefore records that no part from p on may be served if p is closed before its request
+// was read.
+func (s *session) endBefore(p *part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !p.begun {
+		s.lastServed = min(s.lastServed, p.number-1)
+	}
+}
+
 // endsWith reports whether the connection ends when p is closed. A part whose response is
 // complete leaves the connection to those behind it.
 func (s *session) endsWith(p *part) bool {
