pipeline: a report of a cut counts only requests that were served

Cause: behind a request that found no room, requests that were split off before it was closed but are not served counted as unanswered in the log and the metric.

Change: nothing is counted behind a request that was not read.

--- a/internal/pipeline/cut.go
+++ b/internal/pipeline/cut.go
@@ -1,8 +1,7 @@
 package pipeline
 
-// Cut describes a connection that this process closed with a response that was aborted or
-// not the last one, although requests sent ahead behind it were not answered yet. The
-// client gets no answer to them.
+// Cut describes a connection that this process closed before all requests sent ahead on it
+// were answered, because a response was aborted or the connection of a request evicted.
 type Cut struct {
 	// Client is the address of the client.
 	Client string
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -243,11 +243,15 @@
 	return p.previous
 }
 
-// countBehind returns how many parts other than p have no complete response.
+// countBehind returns how many requests behind p are served and have no complete response.
+// Those ahead of p have one.
 func (s *session) countBehind(p *part) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.finished {
+	switch {
+	case !p.begun:
+		return 0
+	case p.finished:
 		return s.active
 	}
 	return s.active - 1
