responsehead: a response whose status cannot be one is a failure

What callers saw: for a response with the status 000, 001, 099, -00 or +20 both nodes closed the caller's connection without an answer, so that calls behind it on the connection lost theirs. 600 and 999 reached callers as answers; 101 did so from fpnode and held a call until its deadline (504) in fpsidecar. A health response with such a status and the header of the remaining cold time was believed.

Cause: http.ReadResponse takes any three characters that parse as a number from 0 on for a status, and nothing checked it afterwards. ResponseWriter.WriteHeader panics on a status below 100, and net/http closes the connection after the panic of a handler.

Change: responsehead.Validate rejects a status that is none of 100 and 102 to 599 (RFC 9110, section 15). httpconn checks each head that it reads, fpnode and the health client check theirs through responsehead.Transport. The caller gets 502, which promises nothing; the connection to the sender is closed. Such a response is no crash of the upstream, and an idempotent call is not sent again on the same upstream for it, as it is when a kept connection breaks.

Why it works: the status is checked where a response enters the process, before anything is decided by it or written to a caller.

The clients of the store, of the platform and of fpctl take no other status than those they know and passed before; their tests stay.

--- a/internal/dataplane/guarded_call.go
+++ b/internal/dataplane/guarded_call.go
@@ -5,6 +5,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/quarantine"
+	"github.com/filbertpier/filbertpier/internal/responsehead"
 )
 
 // guardedCall is a call that a crashGuard has admitted. It is not safe for
@@ -32,6 +33,8 @@
 		if c.RecordSuccess() {
 			c.guard.cfg.Decisions.Record("suspect-cleared", "route", c.route)
 		}
+	case responsehead.IsInvalid(outcome):
+		// The upstream responded, so it has not crashed.
 	case errors.As(outcome, &p) && p.Type == call.ProblemUpstreamFailed && p.Ran == call.RanUnknown:
 		crash, first := c.RecordCrash()
 		if first {
--- a/internal/dataplane/round_trip.go
+++ b/internal/dataplane/round_trip.go
@@ -7,15 +7,18 @@
 	"sync/atomic"
 
 	"github.com/filbertpier/filbertpier/internal/call"
+	"github.com/filbertpier/filbertpier/internal/responsehead"
 )
 
-// roundTrip sends a request once. On failure it returns a *call.Problem that
+// roundTrip sends a request once. A response with an invalid head is a failure. On
+// failure it returns a *call.Problem that
 // tells whether the request may have run: without a connection it cannot have.
 func (s *Server) roundTrip(x *exchange, t *http.Transport, req *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx := req.Context()
-	resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	validating := responsehead.Transport{Base: t}
+	resp, err := validating.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
 		return resp, nil
 	}
@@ -36,6 +39,8 @@
 		return call.NewProblem(call.ProblemDeadline, ran, "while the call was running", err)
 	case ran == call.RanNo:
 		return call.NewProblem(call.ProblemUpstreamFailed, ran, "could not connect", err)
+	case responsehead.IsInvalid(err):
+		return call.NewProblem(call.ProblemUpstreamFailed, ran, "the response is invalid", err)
 	}
 	return call.NewProblem(call.ProblemUpstreamFailed, ran, "the connection broke", err)
 }
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/responsehead"
 )
 
 const (
@@ -141,7 +143,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if err := responsehead.Validate(resp); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < 200 {
 			if interim++; interim > maxInterimResponses {
 				return nil, &HeadTooLargeError{}
 			}
--- a/internal/mesh/coldstart/health_client.go
+++ b/internal/mesh/coldstart/health_client.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-resty/resty/v2"
+
+	"github.com/filbertpier/filbertpier/internal/responsehead"
 )
 
 const (
@@ -37,7 +39,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeadBytes}
-	client := resty.New().SetTransport(transport).SetBaseURL("http://" + addr).SetTimeout(probeTimeout).SetResponseBodyLimit(maxHealthBytes)
+	client := resty.New().SetTransport(&responsehead.Transport{Base: transport}).SetBaseURL("http://" + addr).SetTimeout(probeTimeout).SetResponseBodyLimit(maxHealthBytes)
 	return &HealthClient{client: client, header: header}
 }
 
--- a/internal/mesh/reason.go
+++ b/internal/mesh/reason.go
@@ -42,8 +42,8 @@
 	ReasonCallerLeft Reason = "caller-left"
 	// ReasonConnectionBroken: the connection failed before a complete response.
 	ReasonConnectionBroken Reason = "connection-broke"
-	// ReasonInvalidResponse: the response is not from the upstream, or not to this
-	// call.
+	// ReasonInvalidResponse: the response is not from the upstream, not to this call, or
+	// has an invalid head.
 	ReasonInvalidResponse Reason = "invalid-answer"
 	// ReasonBodyTooLarge: the request body exceeds the configured limit.
 	ReasonBodyTooLarge Reason = "body-too-large"
--- a/internal/mesh/upstream_exchange.go
+++ b/internal/mesh/upstream_exchange.go
@@ -11,6 +11,7 @@
 	"github.com/filbertpier/filbertpier/internal/httpconn"
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/intake"
+	"github.com/filbertpier/filbertpier/internal/responsehead"
 )
 
 // sendToUpstream sends an admitted call to the upstream, and a second time if
@@ -42,7 +43,7 @@
 // one whose reused connection broke, if the limit that the upstream names and the
 // retry budget permit one more arrival, which it counts in both.
 func (s *Server) mayResend(ctx context.Context, q *request, err *httpconn.BrokenError) bool {
-	if !err.Reused || !q.idempotent() || q.bodyTail != nil || ctx.Err() != nil || q.caller.Closed() {
+	if !err.Reused || responsehead.IsInvalid(err) || !q.idempotent() || q.bodyTail != nil || ctx.Err() != nil || q.caller.Closed() {
 		return false
 	}
 	return s.limiter.AllowRepeat() && s.budgets.TakeToken(time.Now(), s.cfg.Service, 0, q.rank.Order)
@@ -71,7 +72,7 @@
 	return broken(brokenReason(ctx, err), err.Error())
 }
 
-// brokenReason returns why an exchange ended without a complete response. The
+// brokenReason returns why an exchange ended without a usable response. The
 // deadline of the connection can expire just before that of the context.
 func brokenReason(ctx context.Context, err error) Reason {
 	switch {
@@ -79,6 +80,8 @@
 		return ReasonDeadline
 	case ctx.Err() != nil:
 		return contextReason(ctx)
+	case responsehead.IsInvalid(err):
+		return ReasonInvalidResponse
 	}
 	return ReasonConnectionBroken
 }
--- /dev/null
+++ b/internal/responsehead/is_invalid.go
@@ -0,0 +1,9 @@
+package responsehead
+
+import "errors"
+
+// IsInvalid reports whether err is, or wraps, an error of Validate.
+func IsInvalid(err error) bool {
+	var status *InvalidStatusError
+	return errors.As(err, &status)
+}
--- /dev/null
+++ b/internal/testkit/brokenhead/listen.go
@@ -0,0 +1,49 @@
+package brokenhead
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// Listen starts a server that answers each request with text, in which %s stands for the
+// request's header named idHeader. It returns the server's address and is closed with the
+// test. addr may have the port 0.
+func Listen(t testing.TB, addr, idHeader, text string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c, idHeader, text)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serve(c net.Conn, idHeader, text string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, strings.ReplaceAll(text, "%s", request.Header.Get(idHeader))); err != nil {
+			return
+		}
+	}
+}
