responsehead: a field name that is no token makes a response a failure

What callers saw: a response with a blank in or behind the name of a field was an answer, without that line. With "Transfer-Encoding : chunked" beside a length the chunk framing was its body ("4", "body", "0"); with "Content-Length : 4" alone the call was held until its deadline (504). The health client, the store's, the platform's and fpctl's clients believed such responses; a list of the store with "Content-Length : 8" had no end before its deadline. Names with other blanks and control bytes (tab, NUL, 0x01, CR, DEL, a blank before the first name) were handled: their tests stay.

Cause: textproto accepts names with blanks for compatibility and leaves them as they are, so that net/http neither interprets such a field nor writes it to a caller. Nothing checked the names afterwards.

Evidence: the tests of this commit on the code before: 5 of the 11 responses with broken names failed for an upstream, and 5 for a node, in internal/sidecar and the same 5 in internal/dataplane; 4 for health checks, 4 for the platform's client, 2 for fpctl and 3 for the store.

Change: responsehead.Validate rejects a name that is no token (RFC 9112, section 5.1), by httpguts of golang.org/x/net. The clients of the store, of the platform and of fpctl use responsehead.Transport too.

Why it works: no head that net/http interprets otherwise than a strict reader reaches a decision, and what follows such a head on its connection is not read.

After: the same tests pass, 3 of 3 runs with the race detector.

--- a/internal/ctl/fleet/broken_head_test.go
+++ b/internal/ctl/fleet/broken_head_test.go
@@ -10,7 +10,7 @@
 
 // Guards against a response of a node with a broken head that fpctl prints as its status.
 func TestBrokenHeadOfANodeIsAFailure(t *testing.T) {
-	for name, text := range brokenhead.Statuses("Content-Type: application/json\r\n", `{"vm":"a"}`) {
+	for name, text := range brokenhead.All("Content-Type: application/json\r\n", `{"vm":"a"}`) {
 		t.Run(name, func(t *testing.T) {
 			c := fleet.NewClient([]string{"http://" + brokenhead.Listen(t, "127.0.0.1:0", "Id", text)}, fleet.DefaultTimeout)
 			list, err := c.Status(t.Context())
--- a/internal/ctl/fleet/client.go
+++ b/internal/ctl/fleet/client.go
@@ -10,6 +10,8 @@
 
 	"github.com/alitto/pond/v2"
 	"github.com/go-resty/resty/v2"
+
+	"github.com/filbertpier/filbertpier/internal/responsehead"
 )
 
 const (
@@ -33,6 +35,7 @@
 // listeners. timeout applies to the request to each node.
 func NewClient(nodes []string, timeout time.Duration) *Client {
 	c := &Client{http: resty.New().SetTimeout(timeout).SetResponseBodyLimit(maxResponseBytes)}
+	c.http.SetTransport(&responsehead.Transport{Base: c.http.GetClient().Transport})
 	for _, n := range nodes {
 		c.nodes = append(c.nodes, strings.TrimSuffix(n, "/"))
 	}
--- a/internal/dataplane/broken_head_test.go
+++ b/internal/dataplane/broken_head_test.go
@@ -15,7 +15,7 @@
 
 // brokenHeads returns responses whose heads are broken.
 func brokenHeads() map[string]string {
-	return brokenhead.Statuses(call.HeaderRan+": yes\r\n"+call.HeaderCall+": %s\r\n", "body")
+	return brokenhead.All(call.HeaderRan+": yes\r\n"+call.HeaderCall+": %s\r\n", "body")
 }
 
 // brokenHeadHandler answers requests whose query names a response with that response.
--- a/internal/mesh/coldstart/broken_head_test.go
+++ b/internal/mesh/coldstart/broken_head_test.go
@@ -9,7 +9,7 @@
 
 // Guards against a health response with a broken head that is believed.
 func TestBrokenHeadTellsNothing(t *testing.T) {
-	for name, text := range brokenhead.Statuses("Cold: 1500\r\n", "body") {
+	for name, text := range brokenhead.All("Cold: 1500\r\n", "body") {
 		t.Run(name, func(t *testing.T) {
 			client := NewHealthClient(brokenhead.Listen(t, "127.0.0.1:0", "Id", text), "", "Cold")
 			defer client.Close()
--- a/internal/platform/broken_head_test.go
+++ b/internal/platform/broken_head_test.go
@@ -9,7 +9,7 @@
 
 // Guards against a response of the platform with a broken head that is taken for a value.
 func TestBrokenHeadOfThePlatformIsALostRead(t *testing.T) {
-	for name, text := range brokenhead.Statuses(RevisionHeader+": 7\r\n", `{"vms":[]}`) {
+	for name, text := range brokenhead.All(RevisionHeader+": 7\r\n", `{"vms":[]}`) {
 		t.Run(name, func(t *testing.T) {
 			client := NewHTTPClient("http://" + brokenhead.Listen(t, "127.0.0.1:0", "Id", text))
 			var unavailable *UnavailableError
--- a/internal/platform/http_client.go
+++ b/internal/platform/http_client.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-resty/resty/v2"
 	"golang.org/x/time/rate"
+
+	"github.com/filbertpier/filbertpier/internal/responsehead"
 )
 
 const (
@@ -33,6 +35,7 @@
 // the rate of its reads.
 func NewHTTPClient(baseURL string) *HTTPClient {
 	c := resty.New().SetBaseURL(baseURL).SetResponseBodyLimit(maxResponseBytes)
+	c.SetTransport(&responsehead.Transport{Base: c.GetClient().Transport})
 	return &HTTPClient{client: c, limiter: rate.NewLimiter(readsPerSecond, readBurst)}
 }
 
--- a/internal/responsehead/is_invalid.go
+++ b/internal/responsehead/is_invalid.go
@@ -5,5 +5,6 @@
 // IsInvalid reports whether err is, or wraps, an error of Validate.
 func IsInvalid(err error) bool {
 	var status *InvalidStatusError
-	return errors.As(err, &status)
+	var name *InvalidFieldNameError
+	return errors.As(err, &status) || errors.As(err, &name)
 }
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -9,8 +9,9 @@
 	Base http.RoundTripper
 }
 
-// RoundTrip implements http.RoundTripper. A response that Validate rejects is closed, and
-// the error is that of Validate.
+// RoundTrip implements http.RoundTripper. The error for a response that Validate rejects
+// is that of Validate. The idle connections of the base are then closed: net/http keeps
+// that of a response without a body, although what it sends next may belong to any request.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := t.Base.RoundTrip(req)
 	if err != nil {
@@ -18,6 +19,7 @@
 	}
 	if err := Validate(resp); err != nil {
 		_ = resp.Body.Close()
+		t.CloseIdleConnections()
 		return nil, err
 	}
 	return resp, nil
--- a/internal/sidecar/broken_head_test.go
+++ b/internal/sidecar/broken_head_test.go
@@ -16,7 +16,7 @@
 
 // brokenHeads returns responses whose heads are broken.
 func brokenHeads() map[string]string {
-	return brokenhead.Statuses(brokenHeadFields, "body")
+	return brokenhead.All(brokenHeadFields, "body")
 }
 
 // Guards against a response with a broken head that its caller gets as an answer, or that
