responsehead: a folded line in a head makes a response a failure

What callers saw: a response with a line in its head that begins with a blank or a tab, as with a blank before the name of a field, was an answer, and the line went on to the caller within the value of the field before it, which might be the seal. With a blank before "Content-Length: 4" the length was lost: the call was held until its deadline (504) in fpsidecar and got 502 "ran: yes" in fpnode. The clients of the store, of the platform and of fpctl believed such responses.

Cause: textproto appends such a line to the line before it (obs-fold). Neither the parsed head nor its field names show it.

Evidence: "blank before a name", "tab before a name" and "blank before Content-Length" of the tests failed on the code before, for an upstream in internal/sidecar and in internal/dataplane; all three for the store, and the first two for the platform and fpctl. For a node that sends them, and for health checks, they passed before: the field in front was one that is checked, and the header of the cold time came with the line in it.

Change: responsehead.Scanner looks at the bytes of each head as they are read: in httpconn below its buffered reader, elsewhere in the connections of responsehead.Transport, which is told by httptrace which of them a request uses. RFC 9112, section 5.2, leaves a proxy the choice between replacing the fold and rejecting the response; rejecting it keeps the values that reach callers those of the upstream.

Why it works: the scanner sees each byte of a head once, whatever the reads, and ends with the head of the final response, so that bodies are not searched.

After: the tests of internal/httpconn, responsehead, sidecar, dataplane, mesh, platform, ctl and of platform pass with the race detector.

--- a/internal/ctl/fleet/client.go
+++ b/internal/ctl/fleet/client.go
@@ -34,8 +34,8 @@
 // NewClient returns a client for nodes, which are base URLs of administration
 // listeners. timeout applies to the request to each node.
 func NewClient(nodes []string, timeout time.Duration) *Client {
-	c := &Client{http: resty.New().SetTimeout(timeout).SetResponseBodyLimit(maxResponseBytes)}
-	c.http.SetTransport(&responsehead.Transport{Base: c.http.GetClient().Transport})
+	transport := responsehead.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})
+	c := &Client{http: resty.New().SetTransport(transport).SetTimeout(timeout).SetResponseBodyLimit(maxResponseBytes)}
 	for _, n := range nodes {
 		c.nodes = append(c.nodes, strings.TrimSuffix(n, "/"))
 	}
--- a/internal/dataplane/crash_guard.go
+++ b/internal/dataplane/crash_guard.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/quarantine"
+	"github.com/filbertpier/filbertpier/internal/responsehead"
 )
 
 // crashGuard rejects requests that are quarantined because they crash upstreams,
@@ -20,16 +20,16 @@
 	guard   *quarantine.Guard
 	reports *quarantine.PendingReports
 	// transport is for suspects; it does not reuse connections.
-	transport *http.Transport
+	transport *responsehead.Transport
 }
 
 func newCrashGuard(cfg Config, control ControlPlane) *crashGuard {
-	g := &crashGuard{
+	transport := newTransport(cfg.LocalIP, 0)
+	transport.DisableKeepAlives = true
+	return &crashGuard{
 		cfg: cfg, control: control,
-		guard: quarantine.NewGuard(), reports: quarantine.NewPendingReports(), transport: newTransport(cfg.LocalIP, 0),
+		guard: quarantine.NewGuard(), reports: quarantine.NewPendingReports(), transport: responsehead.NewTransport(transport),
 	}
-	g.transport.DisableKeepAlives = true
-	return g
 }
 
 // admit admits a call that is not quarantined. A suspect waits until no other
--- a/internal/dataplane/round_trip.go
+++ b/internal/dataplane/round_trip.go
@@ -13,12 +13,11 @@
 // roundTrip sends a request once. A response with an invalid head is a failure. On
 // failure it returns a *call.Problem that
 // tells whether the request may have run: without a connection it cannot have.
-func (s *Server) roundTrip(x *exchange, t *http.Transport, req *http.Request) (*http.Response, error) {
+func (s *Server) roundTrip(x *exchange, t *responsehead.Transport, req *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx := req.Context()
-	validating := responsehead.Transport{Base: t}
-	resp, err := validating.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
 		return resp, nil
 	}
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -12,6 +12,7 @@
 	"github.com/filbertpier/filbertpier/internal/disconnect"
 	"github.com/filbertpier/filbertpier/internal/message"
 	"github.com/filbertpier/filbertpier/internal/once"
+	"github.com/filbertpier/filbertpier/internal/responsehead"
 	"github.com/filbertpier/filbertpier/internal/routing"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
@@ -23,8 +24,8 @@
 	control           ControlPlane
 	picker            *routing.Picker
 	limiter           *admission.Limiter
-	peerTransport     *http.Transport
-	upstreamTransport *http.Transport
+	peerTransport     *responsehead.Transport
+	upstreamTransport *responsehead.Transport
 	buffers           relay.BufferPool
 	retrier           Retrier
 	keys              *once.Table
@@ -46,8 +47,8 @@
 		control:           control,
 		picker:            routing.NewPicker(),
 		limiter:           admission.NewLimiter(0),
-		peerTransport:     newTransport(cfg.LocalIP, 0),
-		upstreamTransport: newTransport(cfg.LocalIP, maxUpstreamConns),
+		peerTransport:     responsehead.NewTransport(newTransport(cfg.LocalIP, 0)),
+		upstreamTransport: responsehead.NewTransport(newTransport(cfg.LocalIP, maxUpstreamConns)),
 		buffers:           relay.NewBufferPool(),
 		retrier:           newBudgetRetrier(),
 		keys:              once.NewTable(cfg.Keys),
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -56,6 +56,14 @@
 	return err == nil && wouldBlock
 }
 
+// expectHead begins the search for folded lines in the head of the next response, of which
+// a part may have been read.
+func (c *conn) expectHead() {
+	buffered, _ := c.br.Peek(c.br.Buffered())
+	c.limiter.scanner.Expect()
+	c.limiter.scanner.Scan(buffered)
+}
+
 func (c *conn) close() { _ = c.netConn.Close() }
 
 // abort resets the connection, which drops what is not sent yet. A server that does
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -86,6 +86,7 @@
 
 // roundTrip writes the request and reads the header of the response.
 func (x *exchange) roundTrip() (*Response, error) {
+	x.conn.expectHead()
 	head := x.req.appendHead(make([]byte, 0, 1024))
 	if !x.req.ExpectContinue && x.req.bodyBuffered() && len(x.req.Body) <= maxInlineBodyBytes {
 		if _, err := x.conn.netConn.Write(append(head, x.req.Body...)); err != nil {
@@ -143,7 +144,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := responsehead.Validate(resp); err != nil {
+		if err := x.validate(resp); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < 200 {
@@ -166,10 +167,19 @@
 			return nil, &StaleError{ID: resp.Header.Get(x.pool.options.EchoHeader)}
 		}
 		x.conn.limiter.limit(maxHeadBytes)
+		x.conn.expectHead()
 	}
 	return nil, &StaleError{}
 }
 
+// validate checks the head of a response. Errors are those of package responsehead.
+func (x *exchange) validate(resp *http.Response) error {
+	if err := responsehead.Validate(resp); err != nil {
+		return err
+	}
+	return x.conn.limiter.scanner.Err()
+}
+
 // mismatched reports whether a response echoes the id of another request.
 func (x *exchange) mismatched(resp *http.Response) bool {
 	name := x.pool.options.EchoHeader
--- a/internal/mesh/coldstart/health_client.go
+++ b/internal/mesh/coldstart/health_client.go
@@ -39,7 +39,7 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeadBytes}
-	client := resty.New().SetTransport(&responsehead.Transport{Base: transport}).SetBaseURL("http://" + addr).SetTimeout(probeTimeout).SetResponseBodyLimit(maxHealthBytes)
+	client := resty.New().SetTransport(responsehead.NewTransport(transport)).SetBaseURL("http://" + addr).SetTimeout(probeTimeout).SetResponseBodyLimit(maxHealthBytes)
 	return &HealthClient{client: client, header: header}
 }
 
--- a/internal/platform/http_client.go
+++ b/internal/platform/http_client.go
@@ -21,6 +21,8 @@
 	// needs about a hundred reads at once.
 	readsPerSecond = 100
 	readBurst      = 200
+	// maxIdleConns limits the connections that are kept between reads.
+	maxIdleConns = 8
 	// maxResponseBytes limits a response; a list of 7,300 VMs is about 1.5 MB.
 	maxResponseBytes = 8 << 20
 )
@@ -34,8 +36,8 @@
 // NewHTTPClient returns a client for the platform at baseURL. The client limits
 // the rate of its reads.
 func NewHTTPClient(baseURL string) *HTTPClient {
-	c := resty.New().SetBaseURL(baseURL).SetResponseBodyLimit(maxResponseBytes)
-	c.SetTransport(&responsehead.Transport{Base: c.GetClient().Transport})
+	transport := responsehead.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, MaxIdleConnsPerHost: maxIdleConns})
+	c := resty.New().SetTransport(transport).SetBaseURL(baseURL).SetResponseBodyLimit(maxResponseBytes)
 	return &HTTPClient{client: c, limiter: rate.NewLimiter(readsPerSecond, readBurst)}
 }
 
--- a/internal/responsehead/is_invalid.go
+++ b/internal/responsehead/is_invalid.go
@@ -2,9 +2,10 @@
 
 import "errors"
 
-// IsInvalid reports whether err is, or wraps, an error of Validate.
+// IsInvalid reports whether err is, or wraps, an error of Validate or of Scanner.
 func IsInvalid(err error) bool {
 	var status *InvalidStatusError
 	var name *InvalidFieldNameError
-	return errors.As(err, &status) || errors.As(err, &name)
+	var folded *FoldedLineError
+	return errors.As(err, &status) || errors.As(err, &name) || errors.As(err, &folded)
 }
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -1,23 +1,57 @@
 package responsehead
 
-import "net/http"
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
 
-// Transport is an http.RoundTripper whose responses have valid heads. It is safe for
-// concurrent use if its base is.
+// Transport is an http.RoundTripper for HTTP/1.1 without TLS whose responses have valid
+// heads. It is safe for concurrent use.
 type Transport struct {
-	// Base sends the requests.
-	Base http.RoundTripper
+	base *http.Transport
 }
 
-// RoundTrip implements http.RoundTripper. The error for a response that Validate rejects
-// is that of Validate. The idle connections of the base are then closed: net/http keeps
-// that of a response without a body, although what it sends next may belong to any request.
+// NewTransport returns a transport that sends requests by base, whose DialContext it
+// wraps. base must not be used for anything else.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper. It fails with an error for which IsInvalid
+// holds if the head of the response is invalid. The idle connections of the base are then
+// closed: net/http keeps that of a response without a body, although what it sends next
+// may belong to any request.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Base.RoundTrip(req)
+	var used atomic.Pointer[conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			c.expect()
+			used.Store(c)
+		}
+	}}
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := Validate(resp); err != nil {
+	err = Validate(resp)
+	if c := used.Load(); err == nil && c != nil {
+		err = c.err()
+	}
+	if err != nil {
 		_ = resp.Body.Close()
 		t.CloseIdleConnections()
 		return nil, err
@@ -25,9 +59,5 @@
 	return resp, nil
 }
 
-// CloseIdleConnections closes the idle connections of the base.
-func (t *Transport) CloseIdleConnections() {
-	if c, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
-		c.CloseIdleConnections()
-	}
-}
+// CloseIdleConnections closes the idle connections.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/internal/testkit/brokenhead/responses.go
+++ b/internal/testkit/brokenhead/responses.go
@@ -34,11 +34,13 @@
 	out := map[string]string{
 		"blank after Content-Length":      head + "Content-Length : " + strconv.Itoa(len(body)) + "\r\n\r\n" + body,
 		"blank after Transfer-Encoding":   head + "Transfer-Encoding : chunked\r\nContent-Length: " + strconv.Itoa(len(chunk)) + "\r\n\r\n" + chunk,
+		"blank before Content-Length":     head + " Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body,
 		"blank before the first name":     "HTTP/1.1 200 OK\r\n X: 1\r\n" + fields + length + body,
 		"blank in a name, without a body": head + "X Y: 1\r\nContent-Length: 0\r\n\r\n",
 	}
 	for what, name := range map[string]string{
-		"blank in a name": "X Y", "blank after a name": "X ", "tab in a name": "X\tY", "NUL in a name": "X\x00Y",
+		"blank in a name": "X Y", "blank after a name": "X ", "blank before a name": " X", "tab before a name": "\tX",
+		"tab in a name": "X\tY", "NUL in a name": "X\x00Y",
 		"control byte in a name": "X\x01Y", "carriage return in a name": "X\rY", "DEL in a name": "X\x7fY",
 	} {
 		out[what] = head + name + ": 1\r\n" + length + body
