mesh: a response that breaks off is reset for callers of HTTP/1.0

What callers saw: a caller of HTTP/1.0 got the first 1,536,000 bytes of a response in chunks, which the upstream broke off, as a complete response with the status 200.

Cause: HTTP/1.0 has no chunks, so net/http ends a response of unknown length with the connection. After the panic with http.ErrAbortHandler it closes the connection in order, as at the end of a whole response. It is the cause of the reset during an upload seen from the other side: the end of a connection stands for the end of a response.

Change: while such a response is written, the connection is set to be reset when it is closed (SO_LINGER); the setting is taken back once the response is complete.

Why it works: each way in which the response can end early closes the connection while it is set so, also an eviction or the end of a planned stop.

--- a/internal/disconnect/conn.go
+++ b/internal/disconnect/conn.go
@@ -48,6 +48,21 @@
 	return err != nil || closed
 }
 
+// ResetOnClose determines whether the connection is reset when it is closed. A client that
+// takes the end of the connection for the end of a response sees then that it is not
+// complete. It has no effect on a nil Conn.
+func (c *Conn) ResetOnClose(reset bool) {
+	if c == nil {
+		return
+	}
+	linger := unix.Linger{}
+	if reset {
+		linger.Onoff = 1
+	}
+	// It fails only if the connection is closed already.
+	_ = c.raw.Control(func(fd uintptr) { _ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &linger) })
+}
+
 // hungUp reports whether the other side of a socket has closed or reset it.
 func hungUp(fd uintptr) bool {
 	const closedEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
--- a/internal/httpconn/folded_head_test.go
+++ b/internal/httpconn/folded_head_test.go
@@ -13,7 +13,7 @@
 func TestFoldedHeadBehindOtherResponsesIsBroken(t *testing.T) {
 	const (
 		folded  = "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n X: 1\r\nContent-Length: 2\r\n\r\nok"
-		earlier = "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 12\r\n\r\n\r\n\r\n a: 1\r\n\r\n"
+		earlier = "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 13\r\n\r\n\r\n\r\n a: 1\r\n\r\n"
 		interim = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
 	)
 	cases := map[string]struct {
--- a/internal/mesh/request.go
+++ b/internal/mesh/request.go
@@ -28,6 +28,9 @@
 	// call is sent only once.
 	bodyTail io.Reader
 	length   int64
+	// endsAtClose is set if a response of unknown length ends with the connection, as for
+	// callers of HTTP/1.0.
+	endsAtClose bool
 	// responseBytes is the expected size of the response; zero if unknown.
 	responseBytes int
 	// otherRegion is set on calls from nodes in other regions.
@@ -57,7 +60,7 @@
 func newRequest(r *http.Request, names HeaderNames) *request {
 	return &request{
 		id: r.Header.Get(names.AttemptID), method: r.Method, target: r.URL.RequestURI(), path: r.URL.Path, host: r.Host,
-		arrived: time.Now(), length: r.ContentLength, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		arrived: time.Now(), length: r.ContentLength, endsAtClose: !r.ProtoAtLeast(1, 1), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		caller: disconnect.FromContext(r.Context()), client: intake.FromContext(r.Context()),
 	}
 }
--- a/internal/mesh/respond.go
+++ b/internal/mesh/respond.go
@@ -31,7 +31,7 @@
 		w.Header()["Connection"] = []string{"close"}
 	}
 	if res.kind == ResultAnswered && res.header != nil {
-		s.writeResponse(ctx, w, res)
+		s.writeResponseToCaller(ctx, w, q, res)
 		return
 	}
 	if res.kind == ResultNotRun {
@@ -111,6 +111,19 @@
 	}
 }
 
+// writeResponseToCaller writes an upstream's response to the caller. While a response that
+// ends with the connection is not complete, closing the connection resets it, so that the
+// caller does not take a part of the response for the whole.
+func (s *Server) writeResponseToCaller(ctx context.Context, w http.ResponseWriter, q *request, res *result) {
+	if q.endsAtClose && res.length < 0 {
+		q.caller.ResetOnClose(true)
+	}
+	s.writeResponse(ctx, w, res)
+	if q.endsAtClose {
+		q.caller.ResetOnClose(false)
+	}
+}
+
 // suppressDefaultHeaders keeps net/http from adding headers that the upstream
 // did not send.
 func suppressDefaultHeaders(h http.Header) {
