sidecar: test that a call with a broken head is not sent again

An idempotent call whose kept connection breaks is sent to the upstream once more. With a response that has an invalid head the connection did not break. Heads that net/http cannot parse still count as a broken connection, as before.

--- a/internal/sidecar/broken_head_test.go
+++ b/internal/sidecar/broken_head_test.go
@@ -19,6 +19,24 @@
 	return brokenhead.All(brokenHeadFields, "body")
 }
 
+// brokenHeadHandler answers calls whose path ends with /broken with text and serves others.
+func brokenHeadHandler(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasSuffix(r.URL.Path, "/broken") {
+			respondAfter(0)(w, r)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", r.Header.Get(headerNames.AttemptID)))
+		// The upstream leaves the connection open.
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
 // Guards against a response with a broken head that its caller gets as an answer, or that
 // ends the connection for the calls behind it. The upstream stands beside the caller's
 // node or beside another one.
@@ -26,20 +44,7 @@
 	for name, text := range brokenHeads() {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
-			upstream := f.add("a", "z1", func(w http.ResponseWriter, r *http.Request) {
-				if !strings.HasSuffix(r.URL.Path, "/broken") {
-					respondAfter(0)(w, r)
-					return
-				}
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					panic(http.ErrAbortHandler)
-				}
-				defer func() { _ = conn.Close() }()
-				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", r.Header.Get(headerNames.AttemptID)))
-				// The upstream leaves the connection open.
-				_, _ = io.Copy(io.Discard, conn)
-			}).start()
+			upstream := f.add("a", "z1", brokenHeadHandler(text)).start()
 			remote := f.add("b", "z1", respondAfter(0)).start()
 			f.awaitServing("/safe/x")
 			for _, entry := range []*vm{upstream, remote} {
@@ -49,6 +54,29 @@
 	}
 }
 
+// Guards against a second run of a call on the upstream whose response had an invalid
+// head on a kept connection, as if the upstream had closed that connection while it was
+// idle.
+func TestCallWithABrokenHeadIsNotResent(t *testing.T) {
+	names := brokenhead.FieldNames(brokenHeadFields, "body")
+	for name, text := range map[string]string{
+		"status":      brokenhead.Statuses(brokenHeadFields, "body")["status 000"],
+		"field name":  names["blank in a name"],
+		"folded line": names["blank before a name"],
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			upstream := f.add("a", "z1", brokenHeadHandler(text)).start()
+			f.awaitServing("/safe/x")
+			before := upstream.runs.Load()
+			got := upstream.call("GET", "/safe/broken")
+			if runs := upstream.runs.Load() - before; got.status != http.StatusBadGateway || runs != 1 {
+				t.Errorf("got %+v after %d runs, want status 502 after 1", got, runs)
+			}
+		})
+	}
+}
+
 // checkBrokenHead sends calls whose response has a broken head, between others on one
 // connection.
 func checkBrokenHead(t *testing.T, entry, upstream *vm) {
