testkit: one accept loop for the stand-ins that write raw bytes

Cause: brokenhead.Listen repeated the accept loop of endless.Listen. Change: both call rawserver.Listen. No test changes.

--- a/internal/testkit/brokenhead/listen.go
+++ b/internal/testkit/brokenhead/listen.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/filbertpier/filbertpier/internal/testkit/rawserver"
 )
 
 // Listen starts a server that answers each request with text, in which %s stands for the
@@ -14,25 +16,10 @@
 // test. addr may have the port 0.
 func Listen(t testing.TB, addr, idHeader, text string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c, idHeader, text)
-		}
-	}()
-	return l.Addr().String()
+	return rawserver.Listen(t, addr, func(c net.Conn) { serve(c, idHeader, text) })
 }
 
 func serve(c net.Conn, idHeader, text string) {
-	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(r)
--- a/internal/testkit/endless/writer.go
+++ b/internal/testkit/endless/writer.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/filbertpier/filbertpier/internal/testkit/rawserver"
 )
 
 // Listen starts a server that reads the head of a request on each connection, writes
@@ -15,25 +17,10 @@
 // the test. addr may have the port 0.
 func Listen(t testing.TB, addr, idHeader, first, chunk string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c, idHeader, first, chunk)
-		}
-	}()
-	return l.Addr().String()
+	return rawserver.Listen(t, addr, func(c net.Conn) { serve(c, idHeader, first, chunk) })
 }
 
 func serve(c net.Conn, idHeader, first, chunk string) {
-	defer func() { _ = c.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
--- /dev/null
+++ b/internal/testkit/rawserver/doc.go
@@ -0,0 +1,2 @@
+// Package rawserver serves connections in tests by functions that write raw bytes.
+package rawserver
