--- a/internal/dataplane/next_call_test.go
+++ b/internal/dataplane/next_call_test.go
@@ -22,12 +22,7 @@
 				_, _ = io.Copy(w, r.Body)
 				return
 			}
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				panic(http.ErrAbortHandler)
-			}
-			defer func() { _ = conn.Close() }()
-			_, _ = io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\nfail")
+			writeRaw(http.NewResponseController(w), "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\nfail")
 		})
 	})
 	const piece = 4 << 10
--- a/internal/sidecar/early_answer_test.go
+++ b/internal/sidecar/early_answer_test.go
@@ -60,12 +60,12 @@
 	}
 }
 
-// status sends the request over a new connection and returns the status of the
-// response, which arrives while the body is being sent.
-func (u slowUpload) status(v *vm) (int, error) {
+// response sends the request over a new connection and returns the whole response, which
+// arrives while the body is being sent.
+func (u slowUpload) response(v *vm) response {
 	c, err := net.Dial("tcp", v.addr(1))
 	if err != nil {
-		return 0, err
+		return response{err: err}
 	}
 	defer func() { _ = c.Close() }()
 	var sent sync.WaitGroup
@@ -73,10 +73,11 @@
 	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return 0, err
+		return response{err: err}
 	}
 	defer sent.Wait()
-	return resp.StatusCode, nil
+	body, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, body: string(body), err: err}
 }
 
 // answerEarly returns an upstream's handler that refuses long requests before their
@@ -156,8 +157,8 @@
 		}
 	})
 	for range 4 {
-		if status, err := upload.status(entry); err != nil || status != http.StatusServiceUnavailable {
-			t.Errorf("an upload by %s got status %d (%v), want 503", entry.id, status, err)
+		if got := upload.response(entry); got.err != nil || got.status != http.StatusServiceUnavailable {
+			t.Errorf("an upload by %s got status %d (%v), want 503", entry.id, got.status, got.err)
 		}
 		time.Sleep(60 * time.Millisecond)
 	}
--- a/internal/sidecar/reset_upload_test.go
+++ b/internal/sidecar/reset_upload_test.go
@@ -1,13 +1,10 @@
 package sidecar_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 )
@@ -31,26 +28,6 @@
 	}
 }
 
-// response sends the request over a new connection and returns the whole response, which
-// arrives while the body is being sent.
-func (u slowUpload) response(v *vm) response {
-	c, err := net.Dial("tcp", v.addr(1))
-	if err != nil {
-		return response{err: err}
-	}
-	defer func() { _ = c.Close() }()
-	var sent sync.WaitGroup
-	sent.Go(func() { u.send(c, lastAttemptID.Add(1)) })
-	defer sent.Wait()
-	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return response{err: err}
-	}
-	body, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, body: string(body), err: err}
-}
-
 // Guards against a success that looks complete although the upstream, which gave no
 // length, reset the connection before the end of its response while the request body was
 // being sent. It stands beside the caller's node or beside another one.
