mesh: a response that ends at close is flushed before the reset is taken back

Found by reading the diff; no run showed a caller that lost them.

Change: the response is flushed first, and the setting stays if that fails. Other responses leave the function before, which also saves them a system call that took back what was never set.

--- a/internal/mesh/respond.go
+++ b/internal/mesh/respond.go
@@ -115,11 +115,13 @@
 // ends with the connection is not complete, closing the connection resets it, so that the
 // caller does not take a part of the response for the whole.
 func (s *Server) writeResponseToCaller(ctx context.Context, w http.ResponseWriter, q *request, res *result) {
-	if q.endsAtClose && res.length < 0 {
-		q.caller.ResetOnClose(true)
+	if !q.endsAtClose || res.length >= 0 {
+		s.writeResponse(ctx, w, res)
+		return
 	}
+	q.caller.ResetOnClose(true)
 	s.writeResponse(ctx, w, res)
-	if q.endsAtClose {
+	if http.NewResponseController(w).Flush() == nil {
 		q.caller.ResetOnClose(false)
 	}
 }
