--- a/review/_rig3/machine.go
+++ b/review/_rig3/machine.go
@@ -26,9 +26,11 @@
 type fleet struct {
 	repo, dir, store string
 	ports            map[string]int
-	zones            map[string]string
-	rec              *record
-	machines         []*machine
+	// memoryMB is the memory limit of each node.
+	memoryMB int
+	zones    map[string]string
+	rec      *record
+	machines []*machine
 }
 
 var portNames = []string{"outbound", "inbound", "ready", "control", "app", "store"}
@@ -48,7 +50,7 @@
 			ports[name] = base + i
 		}
 		if allFree(ips, ports) {
-			return &fleet{repo: repo, dir: dir, store: fmt.Sprintf("%s:%d", ips[0], ports["store"]), ports: ports, zones: map[string]string{}, rec: rec}, ips[1:], nil
+			return &fleet{memoryMB: 284, repo: repo, dir: dir, store: fmt.Sprintf("%s:%d", ips[0], ports["store"]), ports: ports, zones: map[string]string{}, rec: rec}, ips[1:], nil
 		}
 	}
 	return nil, nil, fmt.Errorf("no free range of loopback addresses and ports")
@@ -107,7 +109,7 @@
 		line("%s = %q", z, r)
 	}
 	line("[listen_addrs]\ninbound = %q\noutbound = %q\nready_addr = %q\ncontrol = %q", m.addr("inbound"), m.addr("outbound"), m.addr("ready"), m.addr("control"))
-	line("[limits]\ncpu_share = 0.32\ncpu_cores = 1\nmemory_mb = 284\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0")
+	line("[limits]\ncpu_share = 0.32\ncpu_cores = 1\nmemory_mb = %d\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0", m.fleet.memoryMB)
 	line("[fault_tolerance]\nmachines = 2\nzones = 0\nregions = 0")
 	line("[platform]\naddress = %q\nform = \"read\"\nwrites_per_s = 400\nreads_per_s = 2000\nhistory_s = 20\nvalue_bytes = 1048576\nmin_ttl_ms = 1000", m.fleet.store)
 	return b.String()
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -32,6 +32,8 @@
 	"crashing-request": crashingRequest,
 	"version-refused":  versionRefused,
 	"watch-cut":        watchCut,
+	"sent-ahead":       sentAhead,
+	"answers-dropped":  answersDropped,
 }
 
 func main() { os.Exit(play()) }
--- a/review/_rig3/server.go
+++ b/review/_rig3/server.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -26,6 +27,8 @@
 	onRun func(run)
 	// onArrival is called for each request that reaches the server and names it.
 	onArrival func(run)
+	// onEnd is called when a run ends, with false if its connection was closed before.
+	onEnd func(r run, whole bool)
 
 	mu      sync.Mutex
 	id      string
@@ -41,6 +44,10 @@
 	// poison is the path of the request that crashes the server.
 	poison  string
 	onCrash func()
+	// answerBytes is the size of an answer; zero stands for a line of text.
+	answerBytes int
+	// workFor returns how long a request to a path takes; nil stands for work.
+	workFor func(path string) time.Duration
 }
 
 func (s *server) open(id string) error {
@@ -153,14 +160,28 @@
 		s.onCrash()
 		return
 	}
+	if s.workFor != nil {
+		work = s.workFor(r.URL.Path)
+	}
+	whole := true
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
+		whole = false
 		s.rec.add("server", "%s drops %s: its connection is closed", boot, id)
+	}
+	if s.onEnd != nil {
+		s.onEnd(run{id: id, instance: boot, arrived: arrived}, whole)
+	}
+	if !whole {
 		return
 	}
 	w.Header().Set("X-Filbertpier-Attempt-Id", id)
 	w.Header().Set("X-Filbertpier-Response-Seal", "seal."+id)
+	if s.answerBytes > 0 {
+		_, _ = w.Write(bytes.Repeat([]byte("a"), s.answerBytes))
+		return
+	}
 	fmt.Fprintf(w, "service=%s instance=%s id=%s body=%d", s.service, boot, id, len(body))
 }
 
