--- a/review/_rig3/cut.go
+++ b/review/_rig3/cut.go
@@ -16,12 +16,16 @@
 	otherRegion = 30 * time.Millisecond
 	// cutAfter is how long a watch waits before the store cuts it, while it cuts watches.
 	cutAfter = 800 * time.Millisecond
+	// cutFor is how long the store does so before servers leave.
+	cutFor = 4 * time.Second
+	// pairs is how many times two servers leave.
+	pairs = 3
 )
 
 // watchCut plays servers that leave without a report of their own, two at a time, while
 // the store cuts waiting watches now and then.
 func watchCut(t *trial) (bool, error) {
-	f, ips, err := newFleet(t.repo, t.dir, 6, t.rec)
+	f, ips, err := newFleet(t.repo, t.dir, 9, t.rec)
 	if err != nil {
 		return false, err
 	}
@@ -75,7 +79,7 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(10 * time.Millisecond):
+				case <-time.After(15 * time.Millisecond):
 				}
 				done.Add(1)
 				go func() {
@@ -90,8 +94,8 @@
 	}
 	time.Sleep(contact + time.Second)
 	removed := map[string]time.Time{}
-	for pair := range 2 {
-		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for pair := range pairs {
+		for end := time.Now().Add(cutFor); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 			if t.trouble {
 				st.cutWatches(cutAfter)
 			}
@@ -105,7 +109,7 @@
 			})
 			time.Sleep(30 * time.Millisecond)
 		}
-		time.Sleep(servesOn + contact)
+		time.Sleep(servesOn + time.Second)
 	}
 	close(stop)
 	done.Wait()
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -34,6 +34,7 @@
 	"watch-cut":        watchCut,
 	"sent-ahead":       sentAhead,
 	"answers-dropped":  answersDropped,
+	"encoded-prefix":   encodedPrefix,
 }
 
 func main() { os.Exit(play()) }
