--- a/review/_rig3/ahead.go
+++ b/review/_rig3/ahead.go
@@ -15,10 +15,8 @@
 	longWork = 2500 * time.Millisecond
 	// leaveAfter is when a client leaves, counted from its first byte.
 	leaveAfter = 600 * time.Millisecond
-	// ahead is how many requests a client sends before it reads the first answer. The
-	// first takes longWork at a server, the others shortWork.
-	ahead     = 3
-	shortWork = 50 * time.Millisecond
+	// ahead is how many requests a client sends before it reads the first answer.
+	ahead = 10
 )
 
 // sentAhead plays clients that send further safe requests before the first has been
@@ -40,13 +38,7 @@
 	var mu sync.Mutex
 	begun, ended := map[string]time.Time{}, map[string]time.Time{}
 	for i, m := range f.machines {
-		s := &server{service: m.service, addr: m.addr("app"), zone: m.zone, slots: 18, queue: 72, rec: t.rec}
-		s.workFor = func(path string) time.Duration {
-			if strings.HasPrefix(path, "/list/first-") {
-				return longWork
-			}
-			return shortWork
-		}
+		s := &server{service: m.service, addr: m.addr("app"), zone: m.zone, slots: 18, queue: 72, work: longWork, rec: t.rec}
 		s.onRun = func(r run) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -78,14 +70,10 @@
 		m := f.machines[round%2]
 		var text strings.Builder
 		var ids []string
-		for i := range ahead {
+		for range ahead {
 			id := newID()
-			path := "/list/" + id
-			if i == 0 {
-				path = "/list/first-" + id
-				ids = append(ids, id)
-			}
-			fmt.Fprintf(&text, "GET %s HTTP/1.1\r\nHost: list.example\r\nX-Filbertpier-Attempt-Id: %s\r\nX-Filbertpier-Request-Deadline: 6000\r\n\r\n", path, id)
+			ids = append(ids, id)
+			fmt.Fprintf(&text, "GET /list/%s HTTP/1.1\r\nHost: list.example\r\nX-Filbertpier-Attempt-Id: %s\r\nX-Filbertpier-Request-Deadline: 6000\r\n\r\n", id, id)
 			t.rec.add("client", "sends %s on one connection to %s", id, m.name)
 		}
 		conn, err := net.Dial("tcp", m.addr("outbound"))
--- a/review/_rig3/client.go
+++ b/review/_rig3/client.go
@@ -27,6 +27,8 @@
 type client struct {
 	http *http.Client
 	rec  *record
+	// cookie is sent as a header unless it is empty.
+	cookie string
 }
 
 func newClient(rec *record) *client {
@@ -50,6 +52,9 @@
 		return a
 	}
 	req.Host = host
+	if c.cookie != "" {
+		req.Header.Set("Cookie", c.cookie)
+	}
 	req.Header.Set("X-Filbertpier-Attempt-Id", a.id)
 	req.Header.Set("X-Filbertpier-Request-Deadline", strconv.FormatInt(limit.Milliseconds(), 10))
 	c.rec.add("client", "sends %s %s %s%s to %s", a.id, method, host, path, m.name)
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -33,7 +33,7 @@
 	"version-refused":  versionRefused,
 	"watch-cut":        watchCut,
 	"sent-ahead":       sentAhead,
-	"answers-dropped":  answersDropped,
+	"request-denied":   properRequestDenied,
 	"encoded-prefix":   encodedPrefix,
 }
 
