--- a/review/_rig3/denied.go
+++ b/review/_rig3/denied.go
@@ -17,29 +17,28 @@
 	headBytes = 12_000
 	// uploaders is how many clients of a machine upload uploadBytes each time, and
 	// burstTimes how many times as many there are in a burst, which lasts burstFor.
-	uploaders   = 34
+	uploaders   = 54
 	burstTimes  = 2.6
 	burstFor    = 6500 * time.Millisecond
 	uploadBytes = 360_000
-	uploadWork  = 400 * time.Millisecond
+	uploadWork  = 1400 * time.Millisecond
 )
 
 // properRequestDenied plays ordinary requests with cookies, beside many users who upload
 // at once.
 func properRequestDenied(t *trial) (bool, error) {
-	f, ips, err := newFleet(t.repo, t.dir, 8, t.rec)
+	f, ips, err := newFleet(t.repo, t.dir, 12, t.rec)
 	if err != nil {
 		return false, err
 	}
 	defer f.killAll()
-	f.memoryMB = 184
 	st := newStore(f.store, t.rec)
 	if err := st.open(); err != nil {
 		return false, err
 	}
 	defer st.shut()
 	for i, ip := range ips {
-		f.add(ip, []string{"north-a", "north-b"}[i%2], "north", []string{"front", "guide", "office", "office"}[i/2])
+		f.add(ip, []string{"north-a", "north-b"}[i%2], "north", []string{"front", "guide", "office"}[min(i/2, 2)])
 	}
 	for i, m := range f.machines {
 		s := &server{service: m.service, addr: m.addr("app"), zone: m.zone, slots: 18, queue: 72, work: 30 * time.Millisecond, rec: t.rec}
@@ -54,7 +53,7 @@
 	}
 	st.putConfig(0x10, []route{
 		{name: "r-list", host: "list.example", prefix: "/list/", kind: "safe", service: "guide", timeoutMs: 5000, targetMs: 2000, attempts: 2},
-		{name: "r-upload", host: "list.example", prefix: "/upload/", kind: "unsafe", service: "office", timeoutMs: 5000, targetMs: 2000, attempts: 2},
+		{name: "r-upload", host: "list.example", prefix: "/upload/", kind: "unsafe", service: "office", timeoutMs: 6000, targetMs: 4000, attempts: 2},
 	}, []string{"front", "guide", "office"})
 	for _, m := range f.machines {
 		if err := m.start(); err != nil {
@@ -99,7 +98,7 @@
 	fresh.cookie = strings.Repeat("c", headBytes)
 	text := strings.Repeat("u", uploadBytes)
 	upload := func(m *machine) func() {
-		return func() { count(c.send(m, "POST", "list.example", "/upload/1", text, 5*time.Second)) }
+		return func() { count(c.send(m, "POST", "list.example", "/upload/1", text, 6*time.Second)) }
 	}
 	for _, m := range f.machines[:2] {
 		for range lookers {
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -33,6 +33,7 @@
 	"version-refused":  versionRefused,
 	"watch-cut":        watchCut,
 	"sent-ahead":       sentAhead,
+	"lapsed-servers":   lapsedServers,
 	"request-denied":   properRequestDenied,
 	"encoded-prefix":   encodedPrefix,
 }
--- a/review/_rig3/store.go
+++ b/review/_rig3/store.go
@@ -41,6 +41,8 @@
 	items    map[string]item
 	history  []change
 	changed  chan struct{}
+	// silent is set while the store answers nothing; what was asked then stays unanswered.
+	silent bool
 	// watchers holds the connections of the waiting watches.
 	watchers map[net.Conn]time.Time
 	// delayTo is the delay on the way to a machine, by its address.
@@ -101,10 +103,33 @@
 		host, _, _ := net.SplitHostPort(r.RemoteAddr)
 		delay := s.delayTo[host]
 		time.Sleep(delay)
+		if s.isSilent() {
+			<-r.Context().Done()
+			return
+		}
 		next.ServeHTTP(&delayedWriter{ResponseWriter: w, delay: delay}, r)
 	})
 }
 
+func (s *store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
+// setSilent begins or ends a time in which the store answers nothing.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	if silent {
+		// Watches that wait are among what stays unanswered.
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	s.rec.add("store", "silent: %v", silent)
+}
+
 // delayedWriter delays the first byte of a response.
 type delayedWriter struct {
 	http.ResponseWriter
@@ -244,7 +269,7 @@
 	for expired := false; ; {
 		events := []item{}
 		s.mu.Lock()
-		at, era, changed := s.revision, s.era, s.changed
+		at, era, changed, silent := s.revision, s.era, s.changed, s.silent
 		if _, ok := s.watchers[conn]; !ok && after <= at {
 			s.watchers[conn] = time.Now()
 		}
@@ -255,6 +280,9 @@
 		}
 		s.mu.Unlock()
 		switch {
+		case silent:
+			<-r.Context().Done()
+			return
 		case after > at:
 			w.Header().Set("Store-Era", strconv.Itoa(era))
 			w.WriteHeader(http.StatusGone)
