--- a/review/_rig3/lapsed.go
+++ b/review/_rig3/lapsed.go
@@ -8,30 +8,31 @@
 )
 
 const (
-	// down is how long the store is silent. retry is how often a server repeats a report
-	// that gets no answer.
-	down  = 4500 * time.Millisecond
-	retry = 100 * time.Millisecond
+	// down is how long the store is silent.
+	down = 4500 * time.Millisecond
 	// recovery is recovery_s of the deployment.
 	recovery = 15 * time.Second
 )
 
 // lapsedServers plays the final fault of a day, in which all nodes are killed right after
 // a change was acknowledged, and the store that is silent some seconds later. The entries of
-// the servers lapse meanwhile and are back soon after its return.
+// the servers lapse meanwhile and are back with it: it takes the reports that were held up
+// before it answers the nodes. Each region has a machine with clients and one with a server,
+// and the requests of a region may run only there.
 func lapsedServers(t *trial) (bool, error) {
 	f, ips, err := newFleet(t.repo, t.dir, 6, t.rec)
 	if err != nil {
 		return false, err
 	}
 	defer f.killAll()
+	regions := []string{"kolkata", "haldia", "khulna"}
 	st := newStore(f.store, t.rec)
 	if err := st.open(); err != nil {
 		return false, err
 	}
 	defer st.shut()
 	for i, ip := range ips {
-		f.add(ip, []string{"north-a", "central-a", "south-a"}[i%3], []string{"north", "central", "south"}[i%3], "roster")
+		f.add(ip, regions[i%3]+"-a", regions[i%3], []string{"front", "desk"}[i/3])
 	}
 	var servers []*server
 	for i, m := range f.machines {
@@ -44,7 +45,11 @@
 		st.put("servers/"+s.id, s.entry("ready"))
 	}
 	version := func(n, timeoutMs int) {
-		st.putConfig(n, []route{{name: "r-look", host: "look.example", prefix: "/look/", kind: "safe", service: "roster", timeoutMs: timeoutMs, targetMs: 500, attempts: 2}}, []string{"roster"})
+		var routes []route
+		for _, region := range regions {
+			routes = append(routes, route{name: "r-" + region, host: region + ".example", prefix: "/look/", kind: "safe", service: "desk", timeoutMs: timeoutMs, targetMs: 500, attempts: 2, regions: []string{region}})
+		}
+		st.putConfig(n, routes, []string{"front", "desk"})
 	}
 	version(0x10, 1000)
 	for _, m := range f.machines {
@@ -60,7 +65,7 @@
 	var mu sync.Mutex
 	var answers []answer
 	stop, done := make(chan struct{}), sync.WaitGroup{}
-	for _, m := range f.machines {
+	for _, m := range f.machines[:3] {
 		done.Add(1)
 		go func() {
 			defer done.Done()
@@ -70,7 +75,7 @@
 					return
 				case <-time.After(100 * time.Millisecond):
 				}
-				a := c.send(m, "GET", "look.example", fmt.Sprintf("/look/%d", n), "", 2*time.Second)
+				a := c.send(m, "GET", m.region+".example", fmt.Sprintf("/look/%d", n), "", 2*time.Second)
 				mu.Lock()
 				answers = append(answers, a)
 				mu.Unlock()
@@ -103,10 +108,10 @@
 			st.put("servers/"+s.id, nil)
 		}
 		time.Sleep(down - 3*beat)
-		st.setSilent(false)
-		for i, s := range servers {
-			time.AfterFunc(retry*time.Duration(i+1)/time.Duration(len(servers)), func() { st.put("servers/"+s.id, s.entry("ready")) })
+		for _, s := range servers {
+			st.put("servers/"+s.id, s.entry("ready"))
 		}
+		st.setSilent(false)
 	}
 	time.Sleep(time.Until(machinesBack.Add(recovery + 10*time.Second)))
 	close(stop)
--- a/review/_rig3/store.go
+++ b/review/_rig3/store.go
@@ -305,14 +305,20 @@
 type route struct {
 	name, host, prefix, kind, service string
 	timeoutMs, targetMs, attempts     int
+	// regions are the only ones in which the route's requests may run; none stands for all.
+	regions []string
 }
 
 // putConfig publishes a version and returns the moment of its ack.
 func (s *store) putConfig(version int, routes []route, services []string) time.Time {
 	var rs, ss []map[string]any
 	for i, r := range routes {
-		rs = append(rs, map[string]any{"name": r.name, "host": r.host, "prefix": r.prefix, "type": r.kind, "service": r.service,
-			"timeout_ms": r.timeoutMs, "target_latency_ms": r.targetMs, "priority": i, "max_attempts": r.attempts})
+		entry := map[string]any{"name": r.name, "host": r.host, "prefix": r.prefix, "type": r.kind, "service": r.service,
+			"timeout_ms": r.timeoutMs, "target_latency_ms": r.targetMs, "priority": i, "max_attempts": r.attempts}
+		if len(r.regions) > 0 {
+			entry["allowed_regions"] = r.regions
+		}
+		rs = append(rs, entry)
 	}
 	for _, name := range services {
 		ss = append(ss, map[string]any{"name": name, "health_path": "/health", "max_connections": 120, "protocol": "h1", "tls": false})
