--- a/review/_rig3/crashing.go
+++ b/review/_rig3/crashing.go
@@ -13,14 +13,17 @@
 	serverBack = 3 * time.Second
 	beat       = 870 * time.Millisecond
 	// moveEvery is the time between two versions that move the route.
-	moveEvery = 7 * time.Second
+	moveEvery = 8 * time.Second
+	// copyEvery is the time between two rounds of copies of the crashing request.
+	copyEvery = time.Second
 )
 
 // crashingRequest plays a request that crashes the servers that run it, and that comes
-// again at any machine, while versions move its route to other services, one after the
-// other.
+// again at three machines, while versions move its route to the other two services of the
+// deployment, one after the other. The machines are those of crier-mesh: one of each
+// service in each of the six zones.
 func crashingRequest(t *trial) (bool, error) {
-	f, ips, err := newFleet(t.repo, t.dir, 12, t.rec)
+	f, ips, err := newFleet(t.repo, t.dir, 18, t.rec)
 	if err != nil {
 		return false, err
 	}
@@ -30,17 +33,20 @@
 		return false, err
 	}
 	defer st.shut()
-	// The clients' machines are those of service front; five services have two servers each.
-	services := []string{"front", "svc-1", "svc-2", "svc-3", "svc-4", "svc-5"}
+	services := []string{"roster", "bookings", "archive"}
+	regions := []string{"north", "central", "south"}
 	for i, ip := range ips {
-		f.add(ip, []string{"north-a", "south-a"}[i%2], []string{"north", "south"}[i%2], services[i/2])
+		region := regions[i/3%3]
+		f.add(ip, region+[]string{"-a", "-b"}[i/9], region, services[i%3])
 	}
+	// The clients' machines are those of service archive, three of them in three regions.
+	clients := []*machine{f.machines[2], f.machines[5], f.machines[8]}
 	var mu sync.Mutex
 	var crashes []run
 	ended := make(chan struct{})
 	var returns sync.WaitGroup
 	for i, m := range f.machines {
-		s := &server{service: m.service, addr: m.addr("app"), zone: m.zone, slots: 18, queue: 72, work: 150 * time.Millisecond, rec: t.rec, poison: crashPath}
+		s := &server{service: m.service, addr: m.addr("app"), zone: m.zone, slots: 18, queue: 72, work: 120 * time.Millisecond, rec: t.rec, poison: crashPath}
 		boot := 1
 		s.onRun = func(r run) {
 			if r.path == crashPath {
@@ -83,11 +89,11 @@
 	defer close(ended)
 	version := func(n int, service string) {
 		st.putConfig(n, []route{
-			{name: "r-look", host: "look.example", prefix: "/look/", kind: "safe", service: service, timeoutMs: 1500, targetMs: 500, attempts: 2},
-			{name: "r-pay", host: "pay.example", prefix: "/pay/", kind: "unsafe", service: service, timeoutMs: 1500, targetMs: 500, attempts: 2},
+			{name: "r-look", host: "look.example", prefix: "/look/", kind: "safe", service: service, timeoutMs: 2000, targetMs: 500, attempts: 2},
+			{name: "r-pay", host: "pay.example", prefix: "/pay/", kind: "unsafe", service: "bookings", timeoutMs: 2500, targetMs: 1200, attempts: 2},
 		}, services)
 	}
-	version(0x10, services[1])
+	version(0x10, services[0])
 	for _, m := range f.machines {
 		if err := m.start(); err != nil {
 			return false, err
@@ -119,11 +125,18 @@
 			}
 		}()
 	}
-	every(500*time.Millisecond, func(n int) {
-		c.send(f.machines[n%2], "GET", "look.example", crashPath, "", 2*time.Second)
+	every(copyEvery, func(int) {
+		var copies sync.WaitGroup
+		for _, m := range clients {
+			copies.Go(func() { c.send(m, "GET", "look.example", crashPath, "", 2*time.Second) })
+		}
+		copies.Wait()
+	})
+	every(10*time.Millisecond, func(n int) {
+		c.send(clients[n%3], "GET", "look.example", fmt.Sprintf("/look/%d", n), "", 2*time.Second)
 	})
 	every(20*time.Millisecond, func(n int) {
-		a := c.send(f.machines[n%2], "POST", "pay.example", fmt.Sprintf("/pay/%d", n), "amount=1", 2*time.Second)
+		a := c.send(clients[n%3], "POST", "pay.example", fmt.Sprintf("/pay/%d", n), "amount=1", 2500*time.Millisecond)
 		mu.Lock()
 		defer mu.Unlock()
 		if a.status == 200 && a.sealed {
@@ -133,7 +146,7 @@
 		}
 	})
 	time.Sleep(moveEvery)
-	for i, service := range services[2:] {
+	for i, service := range services[1:] {
 		if t.trouble {
 			version(0x12+2*i, service)
 		}
