--- a/internal/feed/applier.go
+++ b/internal/feed/applier.go
@@ -73,7 +73,7 @@
 func (a *Applier) decode(now time.Time, item replica.Item) Change {
 	change, err := a.decoder.Decode(now, item)
 	if err != nil {
-		a.log.Warn("published item refused", "key", item.Key, "revision", item.Revision, "error", err.Error())
+		a.log.Warn("published item refused", "key", item.Key, "revision", item.Revision.String(), "error", err.Error())
 	}
 	return change
 }
@@ -82,27 +82,27 @@
 	i := d.change.Instance
 	a.directory.Put(i)
 	a.log.Info("upstream listed", "instance", i.ID, "service", i.Service, "addr", i.Addr, "state", i.State.String(),
-		"slots", i.Slots, "zone", i.Zone, "revision", d.revision)
+		"slots", i.Slots, "zone", i.Zone, "revision", d.revision.String())
 }
 
 func (a *Applier) applyEvacuation(d decodedItem) {
 	e := d.change.Evacuation
 	if a.directory.SetEvacuated(e.Zone, e.Active) {
-		a.log.Info("evacuation of a zone", "zone", e.Zone, "active", e.Active, "revision", d.revision)
+		a.log.Info("evacuation of a zone", "zone", e.Zone, "active", e.Active, "revision", d.revision.String())
 	}
 }
 
 func (a *Applier) applyVersion(d decodedItem) {
 	next := d.change.Snapshot
 	if err := a.store.Apply(next); err != nil {
-		a.log.Warn("version refused", "version", next.ID.Version, "revision", d.revision, "error", err.Error())
+		a.log.Warn("version refused", "version", next.ID.Version, "revision", d.revision.String(), "error", err.Error())
 		return
 	}
 	ranks := []string{}
 	for _, r := range next.Document.Ranks() {
 		ranks = append(ranks, r.Name)
 	}
-	a.log.Info("version in force", "version", next.ID.Version, "revision", d.revision, "routes", len(next.Document.Routes()),
+	a.log.Info("version in force", "version", next.ID.Version, "revision", d.revision.String(), "routes", len(next.Document.Routes()),
 		"ranks", strings.Join(ranks, " "))
 }
 
@@ -112,5 +112,5 @@
 		grace = expiredGrace
 	}
 	a.directory.Lapse(now, d.change.RemovedID, d.revision, grace)
-	a.log.Info("upstream entry removed", "instance", d.change.RemovedID, "revision", d.revision, "grace_ms", grace.Milliseconds())
+	a.log.Info("upstream entry removed", "instance", d.change.RemovedID, "revision", d.revision.String(), "grace_ms", grace.Milliseconds())
 }
--- a/internal/feed/applier_test.go
+++ b/internal/feed/applier_test.go
@@ -12,6 +12,7 @@
 	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/replica"
+	"github.com/filbertpier/filbertpier/internal/revision"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
@@ -24,7 +25,7 @@
 		doc, err := config.CompileBody(config.SectionBody{
 			Section: "main", Owner: "ops", Ranks: []config.Rank{{Name: "r", TargetMs: 1000, Worth: 1}},
 		})
-		return Change{Snapshot: snapshot.NewUnsigned(item.Revision, nil, doc)}, err
+		return Change{Snapshot: snapshot.NewUnsigned(item.Revision.Number, nil, doc)}, err
 	}
 	if item.Deleted {
 		return Change{RemovedID: item.Key}, nil
@@ -50,8 +51,8 @@
 		d := instance.NewDirectory()
 		a := NewApplier(entryDecoder{}, snapshot.NewStore(), d, hclog.NewNullLogger())
 		a.Unstable = func(time.Time) bool { return c.unstable }
-		a.Apply([]replica.Item{{Key: "i", Revision: 1}})
-		a.Apply([]replica.Item{{Key: "i", Revision: 2, Deleted: true}})
+		a.Apply([]replica.Item{{Key: "i", Revision: revision.Revision{Number: 1}}})
+		a.Apply([]replica.Item{{Key: "i", Revision: revision.Revision{Number: 2}, Deleted: true}})
 		if got := d.Get("i").Serves(time.Now().Add(c.after)); got != c.serves {
 			t.Errorf("unstable %t, %s after the removal: Serves returned %t", c.unstable, c.after, got)
 		}
@@ -64,10 +65,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var out bytes.Buffer
 		a := NewApplier(entryDecoder{}, snapshot.NewStore(), instance.NewDirectory(), hclog.New(&hclog.LoggerOptions{Output: &out}))
-		a.Apply([]replica.Item{{Key: "old", Revision: 1}})
+		a.Apply([]replica.Item{{Key: "old", Revision: revision.Revision{Number: 1}}})
 		out.Reset()
 		a.Apply(rapid.Permutation([]replica.Item{
-			{Key: "old", Revision: 2, Deleted: true}, {Key: "version", Revision: 3}, {Key: "new", Revision: 4}, {Key: "next", Revision: 5},
+			{Key: "old", Revision: revision.Revision{Number: 2}, Deleted: true}, {Key: "version", Revision: revision.Revision{Number: 3}}, {Key: "new", Revision: revision.Revision{Number: 4}}, {Key: "next", Revision: revision.Revision{Number: 5}},
 		}).Draw(t, "page"))
 		var order []string
 		for line := range strings.Lines(out.String()) {
--- a/internal/instance/addr_shard.go
+++ b/internal/instance/addr_shard.go
@@ -21,7 +21,7 @@
 		s.byAddr[i.Addr] = i
 		return nil
 	}
-	if current.Revision > i.Revision {
+	if i.Revision.Less(current.Revision) {
 		return i
 	}
 	s.byAddr[i.Addr] = i
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // directoryShards is the number of shards of each index. A directory holds a
@@ -96,7 +98,7 @@
 
 // Lapse records that the platform no longer lists an instance. The instance
 // becomes gone after the grace period, or at once if it was draining.
-func (d *Directory) Lapse(now time.Time, id string, revision uint64, grace time.Duration) {
+func (d *Directory) Lapse(now time.Time, id string, at revision.Revision, grace time.Duration) {
 	d.changes.Lock()
 	defer d.changes.Unlock()
 	old := d.Get(id)
@@ -104,7 +106,7 @@
 		return
 	}
 	next := *old
-	next.StateSince, next.Revision, next.GoneAt = now, revision, now.Add(grace)
+	next.StateSince, next.Revision, next.GoneAt = now, at, now.Add(grace)
 	next.State = Lapsed
 	if old.State == Draining {
 		next.State = Gone
@@ -200,7 +202,7 @@
 	if a.StartedAtMs != b.StartedAtMs {
 		return a.StartedAtMs > b.StartedAtMs
 	}
-	return a.Revision > b.Revision
+	return b.Revision.Less(a.Revision)
 }
 
 // Expire removes lapsed and gone instances whose StateSince is more than
--- a/internal/instance/directory_test.go
+++ b/internal/instance/directory_test.go
@@ -3,14 +3,19 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func entry(id, service, addr string, revision uint64) *Instance {
-	return &Instance{ID: id, Service: service, Addr: addr, Slots: 4, Revision: revision, StateSince: start}
+func entry(id, service, addr string, number uint64) *Instance {
+	return &Instance{ID: id, Service: service, Addr: addr, Slots: 4, Revision: at(number), StateSince: start}
 }
 
+// at returns a revision of a platform that does not name its era.
+func at(number uint64) revision.Revision { return revision.Revision{Number: number} }
+
 func servingIDs(d *Directory, service string) map[string]bool {
 	out := map[string]bool{}
 	for _, i := range d.Service(service) {
@@ -46,7 +51,7 @@
 			t.Errorf("%s: serving instances of t: %v, want none", c.name, got)
 		}
 		// The platform drops the old entry later; the new one keeps the address.
-		d.Lapse(start, "old", 12, time.Second)
+		d.Lapse(start, "old", at(12), time.Second)
 		if got := servingIDs(d, "s"); !got["new"] || got["old"] {
 			t.Errorf("%s: serving instances of s after the old entry was dropped: %v, want new and not old", c.name, got)
 		}
@@ -67,14 +72,14 @@
 // Guards against calls to an instance that said that it leaves: a later entry, a
 // removal and a restored entry do not take that back, a new start under its id does.
 func TestLeavingInstanceServesOnlyAfterNewStart(t *testing.T) {
-	at := func(startedAtMs int64, revision uint64) *Instance {
-		i := entry("x", "s", "1.1.1.1:1", revision)
+	boot := func(startedAtMs int64, number uint64) *Instance {
+		i := entry("x", "s", "1.1.1.1:1", number)
 		i.StartedAtMs = startedAtMs
 		return i
 	}
 	d := NewDirectory()
-	d.Put(at(1, 1))
-	if !d.MarkLeaving(start, at(1, 1)) || d.MarkLeaving(start, at(1, 1)) {
+	d.Put(boot(1, 1))
+	if !d.MarkLeaving(start, boot(1, 1)) || d.MarkLeaving(start, boot(1, 1)) {
 		t.Error("the first notice must be new, the second must not")
 	}
 	steps := []struct {
@@ -83,16 +88,16 @@
 		serves bool
 	}{
 		{"notice", func() {}, false},
-		{"later entry", func() { d.Put(at(1, 2)) }, false},
-		{"removal", func() { d.Lapse(start, "x", 3, time.Hour) }, false},
-		{"restored entry", func() { d.Put(at(1, 4)) }, false},
+		{"later entry", func() { d.Put(boot(1, 2)) }, false},
+		{"removal", func() { d.Lapse(start, "x", at(3), time.Hour) }, false},
+		{"restored entry", func() { d.Put(boot(1, 4)) }, false},
 		{"second removal and expiry", func() {
-			d.Lapse(start, "x", 5, 0)
+			d.Lapse(start, "x", at(5), 0)
 			d.Expire(start.Add(goneRetention + time.Second))
 		}, false},
-		{"entry restored after the expiry", func() { d.Put(at(1, 6)) }, false},
-		{"new start", func() { d.Put(at(2, 7)) }, true},
-		{"late notice of the old start", func() { d.MarkLeaving(start, at(1, 1)) }, true},
+		{"entry restored after the expiry", func() { d.Put(boot(1, 6)) }, false},
+		{"new start", func() { d.Put(boot(2, 7)) }, true},
+		{"late notice of the old start", func() { d.MarkLeaving(start, boot(1, 1)) }, true},
 	}
 	for _, s := range steps {
 		s.change()
--- a/internal/instance/evacuation_test.go
+++ b/internal/instance/evacuation_test.go
@@ -21,7 +21,7 @@
 	}
 	d.Put(inZone("during", "c:1", "z1", 3))
 	d.Put(inZone("before", "a:1", "z1", 4))
-	d.Lapse(start, "before", 5, time.Second)
+	d.Lapse(start, "before", at(5), time.Second)
 	if got := servingIDs(d, "s"); len(got) != 1 || !got["other"] {
 		t.Errorf("serving during the evacuation: %v, want other", got)
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -1,6 +1,10 @@
 package instance
 
-import "time"
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
+)
 
 // Instance is one run of an upstream, from its start to its exit. It is
 // immutable.
@@ -31,7 +35,7 @@
 	// sets it.
 	Evacuated bool
 	// Revision is the platform's revision of the entry.
-	Revision uint64
+	Revision revision.Revision
 }
 
 // StateAt returns the state at now; a lapsed instance is gone from GoneAt on.
--- a/internal/mesh/config.go
+++ b/internal/mesh/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/quarantine"
+	"github.com/filbertpier/filbertpier/internal/revision"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
@@ -28,10 +29,10 @@
 	// Directory lists the upstreams.
 	Directory *instance.Directory
 	// Revision returns the latest platform revision known to the node.
-	Revision func() uint64
+	Revision func() revision.Revision
 	// ObservePeerRevision is called with the host of another node and the latest
 	// platform revision that it reported.
-	ObservePeerRevision func(host string, revision uint64)
+	ObservePeerRevision func(host string, at revision.Revision)
 	// Quarantine decides which calls may run on the upstream, and Crashes tells the
 	// other nodes of its service about them.
 	Quarantine *quarantine.Guard
--- a/internal/mesh/forward.go
+++ b/internal/mesh/forward.go
@@ -15,6 +15,7 @@
 	"github.com/filbertpier/filbertpier/internal/httpconn"
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/placement"
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // forward sends a call to the node beside an instance.
@@ -50,7 +51,7 @@
 	if out.ExpectContinue && res.kind != ResultNotRun {
 		s.link.Charge(len(q.body))
 	}
-	if res.revision > 0 {
+	if !res.revision.IsZero() {
 		s.cfg.ObservePeerRevision(host, res.revision)
 	}
 	return res
@@ -63,7 +64,7 @@
 	out.Header[s.cfg.HeaderNames.TimeLeft] = []string{strconv.FormatInt(time.Until(q.deadline).Milliseconds(), 10)}
 	out.Header[call.HeaderTarget] = []string{to.ID}
 	out.Header[call.HeaderRank] = []string{q.rank.Name}
-	out.Header[headerRevision] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
+	out.Header[headerRevision] = []string{s.cfg.Revision().String()}
 	returnTime := s.chooser.RoundTrip(s.cfg.Zone, s.cfg.Region, to) + s.link.Duration(q.responseBytes)
 	out.Header[headerDue] = []string{strconv.FormatInt((time.Until(q.due) - returnTime).Milliseconds(), 10)}
 	out.Header[headerResponseBytes] = []string{strconv.Itoa(q.responseBytes)}
@@ -106,7 +107,7 @@
 	}
 	res.load = decodeLoad(resp.Header.Get(call.HeaderLoad))
 	res.runTime, res.nodeTime = decodeTimes(resp.Header.Get(headerTimes))
-	res.revision, _ = strconv.ParseUint(resp.Header.Get(headerRevision), 10, 64)
+	res.revision, _ = revision.Parse(resp.Header.Get(headerRevision))
 	deleteNodeHeaders(resp.Header)
 	return res
 }
@@ -145,7 +146,7 @@
 		res.load.LinkBacklog.Milliseconds(), res.load.LinkBytesPerSecond, res.load.CallsPerSecond,
 		res.load.ReceiveBacklog.Milliseconds())}
 	h[headerTimes] = []string{strconv.FormatInt(res.runTime.Microseconds(), 10) + " " + strconv.FormatInt(res.nodeTime.Microseconds(), 10)}
-	h[headerRevision] = []string{strconv.FormatUint(s.cfg.Revision(), 10)}
+	h[headerRevision] = []string{s.cfg.Revision().String()}
 	if res.kind == ResultAnswered {
 		return
 	}
--- a/internal/mesh/log.go
+++ b/internal/mesh/log.go
@@ -21,7 +21,7 @@
 	if snap := s.cfg.Store.Current(); snap != nil {
 		fields = append(fields, "version", snap.ID.Version)
 	}
-	fields = append(fields, "revision", s.cfg.Revision())
+	fields = append(fields, "revision", s.cfg.Revision().String())
 	s.cfg.Log.Info("call", fields...)
 }
 
--- a/internal/mesh/peer_handler.go
+++ b/internal/mesh/peer_handler.go
@@ -10,6 +10,7 @@
 	"github.com/filbertpier/filbertpier/config"
 	"github.com/filbertpier/filbertpier/internal/call"
 	"github.com/filbertpier/filbertpier/internal/dataplane/relay"
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // PeerHandler returns the handler for calls from other nodes.
@@ -17,9 +18,9 @@
 
 func (s *Server) servePeer(w http.ResponseWriter, r *http.Request) {
 	q := s.readPeerRequest(r)
-	if revision, err := strconv.ParseUint(r.Header.Get(headerRevision), 10, 64); err == nil {
+	if at, err := revision.Parse(r.Header.Get(headerRevision)); err == nil {
 		if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-			s.cfg.ObservePeerRevision(host, revision)
+			s.cfg.ObservePeerRevision(host, at)
 		}
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
--- a/internal/mesh/read_late_test.go
+++ b/internal/mesh/read_late_test.go
@@ -20,6 +20,7 @@
 	"github.com/filbertpier/filbertpier/internal/mesh"
 	"github.com/filbertpier/filbertpier/internal/quarantine"
 	"github.com/filbertpier/filbertpier/internal/quarantine/reports"
+	"github.com/filbertpier/filbertpier/internal/revision"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
 
@@ -44,7 +45,7 @@
 	return mesh.NewServer(mesh.Config{
 		HeaderNames: mesh.HeaderNames{AttemptID: "Id", TimeLeft: "Left", Seal: "Seal", ExpectedInstance: "Want", NotRun: "Not-Run", CallerService: "Caller"},
 		Zone:        "z", Region: "r", Service: "a", UpstreamAddr: addr, Store: store, Directory: directory,
-		Revision: func() uint64 { return 1 }, ObservePeerRevision: func(string, uint64) {},
+		Revision: func() revision.Revision { return revision.Revision{Number: 1} }, ObservePeerRevision: func(string, revision.Revision) {},
 		Quarantine: quarantine.NewGuard(), Crashes: reports.NewSender(func() []string { return nil }),
 		Log: hclog.NewNullLogger(), Metrics: mesh.NewMetrics(prometheus.NewRegistry()),
 	})
--- a/internal/mesh/result.go
+++ b/internal/mesh/result.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/filbertpier/filbertpier/internal/placement"
+	"github.com/filbertpier/filbertpier/internal/revision"
 	"github.com/filbertpier/filbertpier/internal/uplink"
 )
 
@@ -45,7 +46,7 @@
 	// reserved.
 	transfer *uplink.Transfer
 	// revision is the latest platform revision known to the other node.
-	revision uint64
+	revision revision.Revision
 }
 
 func notRun(reason Reason, detail string) *result {
--- a/internal/replica/ancestors_cut_test.go
+++ b/internal/replica/ancestors_cut_test.go
@@ -38,7 +38,7 @@
 					time.Sleep(delay)
 					platform.put("config", false)
 					time.Sleep(configApplyBound)
-					if got := chain[depth].table.Revision(); got != 2 {
+					if got := chain[depth].table.Revision().Number; got != 2 {
 						t.Errorf("the node is at revision %d %s after the change, want 2", got, configApplyBound)
 					}
 				})
@@ -61,7 +61,7 @@
 					time.Sleep(delay)
 					platform.put("config", false)
 					time.Sleep(configApplyBound)
-					if got := chain[2].table.Revision(); got != 2 {
+					if got := chain[2].table.Revision().Number; got != 2 {
 						t.Errorf("the node is at revision %d %s after the change, want 2", got, configApplyBound)
 					}
 				})
@@ -122,7 +122,7 @@
 		if n := child.source.reads.Load() - before; n != 1 {
 			t.Errorf("the child read the platform %d times after one late response, want once", n)
 		}
-		if got := child.table.Revision(); got != 11 {
+		if got := child.table.Revision().Number; got != 11 {
 			t.Errorf("the child is at revision %d, want 11", got)
 		}
 	})
--- a/internal/replica/connectivity.go
+++ b/internal/replica/connectivity.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// restored records that the platform returned from an older copy of itself, which makes
+// the node unstable as an outage does.
+func (c *connectivity) restored(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reconnectedAt = now
+}
+
 func (c *connectivity) isConnected() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/replica/discard_observer_test.go
+++ b/internal/replica/discard_observer_test.go
@@ -1,13 +1,18 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
+)
 
 // discardObserver ignores all events.
 type discardObserver struct{}
 
-func (discardObserver) ReadFailed(error)                   {}
-func (discardObserver) Recovered(time.Duration)            {}
-func (discardObserver) Listed(uint64, int)                 {}
-func (discardObserver) Relisting(uint64)                   {}
-func (discardObserver) PeerFailed(string, error)           {}
-func (discardObserver) MergedFromPeer(string, uint64, int) {}
+func (discardObserver) ReadFailed(error)                                        {}
+func (discardObserver) Recovered(time.Duration)                                 {}
+func (discardObserver) Listed(revision.Revision, int)                           {}
+func (discardObserver) Relisting(revision.Revision)                             {}
+func (discardObserver) PeerFailed(string, error)                                {}
+func (discardObserver) MergedFromPeer(string, revision.Revision, int)           {}
+func (discardObserver) EraBegun(revision.Revision, revision.Revision, int, int) {}
--- a/internal/replica/fetcher.go
+++ b/internal/replica/fetcher.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // Fetcher reads the changes after a revision from another node.
@@ -11,7 +13,7 @@
 type Fetcher interface {
 	// Fetch returns the changes after a revision at once, over a connection
 	// that is closed afterwards.
-	Fetch(ctx context.Context, addr string, afterRevision uint64) (Page, error)
+	Fetch(ctx context.Context, addr string, afterRevision revision.Revision) (Page, error)
 	// Follow is a long poll: the node responds once it has changes or a new
 	// confirmation, or after the wait. The connection is kept for the next call.
 	Follow(ctx context.Context, addr string, r FollowRequest) (Page, error)
--- a/internal/replica/follow_request.go
+++ b/internal/replica/follow_request.go
@@ -1,11 +1,15 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
+)
 
 // FollowRequest asks a node for the changes that another node lacks. It is immutable.
 type FollowRequest struct {
 	// AfterRevision is the revision up to which the requester's copy is complete.
-	AfterRevision uint64
+	AfterRevision revision.Revision
 	// Confirmation is the Page.Confirmation of the node's last response; zero before
 	// the first one.
 	Confirmation uint64
--- a/internal/replica/gap.go
+++ b/internal/replica/gap.go
@@ -1,7 +1,7 @@
 package replica
 
-// Gap is a range of revisions, without its bounds, that a table skipped with a
-// complete list. The table lacks deletions in it of keys that it did not hold.
+// Gap is a range of revision numbers of one era, without its bounds, that a table
+// skipped with a complete list. The table lacks deletions in it of keys that it did not hold.
 type Gap struct {
 	After uint64 `json:"after"`
 	Until uint64 `json:"until"`
--- a/internal/replica/parent_cut_test.go
+++ b/internal/replica/parent_cut_test.go
@@ -32,7 +32,7 @@
 				time.Sleep(delay)
 				platform.put("config", false)
 				time.Sleep(configApplyBound)
-				if got := child.table.Revision(); got != 2 {
+				if got := child.table.Revision().Number; got != 2 {
 					t.Errorf("the child is at revision %d %s after the change, want 2", got, configApplyBound)
 				}
 			})
@@ -50,7 +50,7 @@
 		time.Sleep(time.Millisecond)
 		platform.put("config", false)
 		time.Sleep(configApplyBound)
-		if got := child.table.Revision(); got != 3 {
+		if got := child.table.Revision().Number; got != 3 {
 			t.Errorf("the child is at revision %d %s after the change, want 3", got, configApplyBound)
 		}
 	})
@@ -63,14 +63,14 @@
 		platform, root, child := startPair(t)
 		root.source.oversized.Store(true)
 		time.Sleep(configApplyBound)
-		if got := root.table.Revision(); got != 1 {
+		if got := root.table.Revision().Number; got != 1 {
 			t.Errorf("the node is at revision %d while no response can be kept, want 1", got)
 		}
 		for revision := uint64(2); revision <= 4; revision++ {
 			platform.put("config", false)
 			time.Sleep(configApplyBound)
 			for _, n := range []*testNode{root, child} {
-				if got := n.table.Revision(); got != revision {
+				if got := n.table.Revision().Number; got != revision {
 					t.Errorf("a node is at revision %d %s after the change, want %d", got, configApplyBound, revision)
 				}
 			}
--- a/internal/replica/peers/client.go
+++ b/internal/replica/peers/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/replica"
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // maxCandidates bounds the nodes that one round of fetches tries.
@@ -103,7 +104,7 @@
 		return replica.Page{}, err
 	}
 	var page wirePage
-	err = callOn(ctx, conn, addr, fetchMethod, fetchParams{AfterRevision: r.AfterRevision, WaitMs: r.Wait.Milliseconds(), Confirmation: r.Confirmation}, &page)
+	err = callOn(ctx, conn, addr, fetchMethod, newFetchParams(r), &page)
 	if err != nil {
 		c.parent.drop()
 		return replica.Page{}, err
@@ -112,9 +113,9 @@
 }
 
 // Fetch implements replica.Fetcher. It returns a *CallError or a *CodecError.
-func (c *Client) Fetch(ctx context.Context, addr string, afterRevision uint64) (replica.Page, error) {
+func (c *Client) Fetch(ctx context.Context, addr string, afterRevision revision.Revision) (replica.Page, error) {
 	var page wirePage
-	if err := Call(ctx, addr, fetchMethod, fetchParams{AfterRevision: afterRevision}, &page); err != nil {
+	if err := Call(ctx, addr, fetchMethod, newFetchParams(replica.FollowRequest{AfterRevision: afterRevision}), &page); err != nil {
 		return replica.Page{}, err
 	}
 	return c.decompressor.decompressPage(&page)
--- a/internal/replica/peers/compressor.go
+++ b/internal/replica/peers/compressor.go
@@ -23,7 +23,7 @@
 	// mu guards compressed.
 	mu sync.Mutex
 	// compressed holds, by key, the large value that was compressed last.
-	compressed map[string]wireItem
+	compressed map[string]compressedItem
 }
 
 func newCompressor() (*compressor, error) {
@@ -31,20 +31,20 @@
 	if err != nil {
 		return nil, &CodecError{Err: err}
 	}
-	return &compressor{encoder: e, compressed: map[string]wireItem{}}, nil
+	return &compressor{encoder: e, compressed: map[string]compressedItem{}}, nil
 }
 
 func (c *compressor) compress(i replica.Item) wireItem {
-	out := wireItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
+	out := wireItem{Key: i.Key, Value: i.Value, Revision: i.Revision.Number, Deleted: i.Deleted}
 	if len(i.Value) < minCompressBytes {
 		return out
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cached, ok := c.compressed[i.Key]; ok && cached.Revision == i.Revision {
-		return cached
+	if cached, ok := c.compressed[i.Key]; ok && cached.revision == i.Revision {
+		return cached.item
 	}
 	out.Value, out.Compressed = c.encoder.EncodeAll(i.Value, nil), true
-	c.compressed[i.Key] = out
+	c.compressed[i.Key] = compressedItem{revision: i.Revision, item: out}
 	return out
 }
--- a/internal/replica/peers/decompressor.go
+++ b/internal/replica/peers/decompressor.go
@@ -7,6 +7,7 @@
 	"github.com/klauspost/compress/zstd"
 
 	"github.com/filbertpier/filbertpier/internal/replica"
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // decompressor decompresses values. Its zero value is ready to use; it is safe
@@ -20,14 +21,14 @@
 // decompressPage converts a wirePage and decompresses its values. It returns a
 // *CodecError.
 func (d *decompressor) decompressPage(p *wirePage) (replica.Page, error) {
-	out := replica.Page{Complete: p.Complete, Gaps: p.Gaps, Revision: p.Revision, Fresh: p.Fresh,
+	out := replica.Page{Complete: p.Complete, Gaps: p.Gaps, Revision: revision.Revision{Era: p.Era, Number: p.Revision}, Fresh: p.Fresh,
 		Confirmation: p.Confirmation, ConfirmedAge: time.Duration(p.AgeMs) * time.Millisecond}
 	for _, i := range p.Items {
 		value, err := d.decompressValue(&i)
 		if err != nil {
 			return replica.Page{}, &CodecError{Key: i.Key, Err: err}
 		}
-		out.Items = append(out.Items, replica.Item{Key: i.Key, Value: value, Revision: i.Revision, Deleted: i.Deleted})
+		out.Items = append(out.Items, replica.Item{Key: i.Key, Value: value, Revision: revision.Revision{Era: p.Era, Number: i.Revision}, Deleted: i.Deleted})
 	}
 	return out, nil
 }
--- a/internal/replica/peers/endless_test.go
+++ b/internal/replica/peers/endless_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/filbertpier/filbertpier/internal/replica"
 	"github.com/filbertpier/filbertpier/internal/replica/peers"
+	"github.com/filbertpier/filbertpier/internal/revision"
 	"github.com/filbertpier/filbertpier/internal/testkit/endless"
 )
 
@@ -40,11 +41,11 @@
 	for name, message := range endlessMessages {
 		reads := map[string]func(ctx context.Context, c *peers.Client, addr string) error{
 			"fetch": func(ctx context.Context, c *peers.Client, addr string) error {
-				_, err := c.Fetch(ctx, addr, 1)
+				_, err := c.Fetch(ctx, addr, revision.Revision{Number: 1})
 				return err
 			},
 			"follow": func(ctx context.Context, c *peers.Client, addr string) error {
-				_, err := c.Follow(ctx, addr, replica.FollowRequest{AfterRevision: 1, Wait: time.Second})
+				_, err := c.Follow(ctx, addr, replica.FollowRequest{AfterRevision: revision.Revision{Number: 1}, Wait: time.Second})
 				return err
 			},
 			"call": func(ctx context.Context, _ *peers.Client, addr string) error {
@@ -131,7 +132,7 @@
 		go endless.Write(c, first, chunk)
 	}
 	for ctx.Err() == nil {
-		if _, err := (&peers.Client{}).Fetch(t.Context(), addr, 0); err != nil {
+		if _, err := (&peers.Client{}).Fetch(t.Context(), addr, revision.Revision{}); err != nil {
 			t.Errorf("a fetch meanwhile: %v", err)
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -143,12 +144,12 @@
 func TestLongestTrueResponseOfANodePasses(t *testing.T) {
 	const servers = 7300
 	table := replica.NewTable(func([]replica.Item) {})
-	page := replica.Page{Complete: true, Revision: 1}
+	page := replica.Page{Complete: true, Revision: revision.Revision{Number: 1}}
 	value := make([]byte, 1<<20)
 	_, _ = rand.Read(value)
-	page.Items = append(page.Items, replica.Item{Key: "config", Value: value, Revision: 1})
+	page.Items = append(page.Items, replica.Item{Key: "config", Value: value, Revision: revision.Revision{Number: 1}})
 	for i := range servers {
-		page.Items = append(page.Items, replica.Item{Key: fmt.Sprintf("servers/i-%010d", i), Value: value[i : i+400], Revision: 1})
+		page.Items = append(page.Items, replica.Item{Key: fmt.Sprintf("servers/i-%010d", i), Value: value[i : i+400], Revision: revision.Revision{Number: 1}})
 	}
 	table.Merge(page)
 	server, err := peers.Listen("127.0.0.1:0", replica.NewPublisher(replica.NewReader(replica.Config{}, table)), nil)
@@ -156,7 +157,7 @@
 		t.Fatal(err)
 	}
 	defer server.Close()
-	got, err := (&peers.Client{}).Fetch(t.Context(), server.Addr(), 0)
+	got, err := (&peers.Client{}).Fetch(t.Context(), server.Addr(), revision.Revision{})
 	if err != nil || len(got.Items) != servers+1 {
 		t.Errorf("got %d items and %v, want %d", len(got.Items), err, servers+1)
 	}
--- a/internal/replica/peers/server.go
+++ b/internal/replica/peers/server.go
@@ -111,11 +111,9 @@
 	if err := json.Unmarshal(params, &p); err != nil {
 		return nil, err
 	}
-	page := s.publisher.Page(ctx, replica.FollowRequest{
-		AfterRevision: p.AfterRevision, Confirmation: p.Confirmation, Wait: min(time.Duration(p.WaitMs)*time.Millisecond, maxWait),
-	})
+	page := s.publisher.Page(ctx, p.followRequest(s.publisher.Revision().Era))
 	out := wirePage{
-		Complete: page.Complete, Gaps: page.Gaps, Revision: page.Revision, Fresh: page.Fresh,
+		Complete: page.Complete, Gaps: page.Gaps, Revision: page.Revision.Number, Era: page.Revision.Era, Fresh: page.Fresh,
 		Confirmation: page.Confirmation, AgeMs: page.ConfirmedAge.Milliseconds(),
 	}
 	for _, i := range page.Items {
--- a/internal/replica/peers/wire_page.go
+++ b/internal/replica/peers/wire_page.go
@@ -7,8 +7,11 @@
 	Items    []wireItem    `json:"items"`
 	Complete bool          `json:"complete,omitempty"`
 	Gaps     []replica.Gap `json:"gaps,omitempty"`
-	Revision uint64        `json:"at"`
-	Fresh    bool          `json:"fresh,omitempty"`
+	// Revision is the number of the page's revision, and Era its era. Nodes of earlier
+	// builds send no era and do not know of any.
+	Revision uint64 `json:"at"`
+	Era      uint64 `json:"era,omitempty"`
+	Fresh    bool   `json:"fresh,omitempty"`
 	// Confirmation and AgeMs are Confirmation and, in milliseconds, ConfirmedAge of
 	// the page.
 	Confirmation uint64 `json:"confirmation,omitempty"`
--- a/internal/replica/publisher.go
+++ b/internal/replica/publisher.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // Publisher answers the reads of other nodes from the table of a reader. It is
@@ -14,6 +16,9 @@
 // NewPublisher returns a publisher of a reader's table.
 func NewPublisher(r *Reader) *Publisher { return &Publisher{reader: r} }
 
+// Revision returns the revision up to which the reader's copy is complete.
+func (p *Publisher) Revision() revision.Revision { return p.reader.table.Revision() }
+
 // Page returns the changes that a request asks for. If there are none and the reader's
 // copy is confirmed, it waits for changes, for a new confirmation, for the loss of the
 // connection or for ctx to end, at most for the wait of the request.
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // Reader keeps a table up to date from the platform or the parent node, and from
@@ -84,8 +86,8 @@
 
 // ObservePeerRevision requests a fetch from a peer if its revision is newer than
 // the table's and no other request is pending. It does not block.
-func (r *Reader) ObservePeerRevision(addr string, revision uint64) {
-	if revision <= r.table.Revision() {
+func (r *Reader) ObservePeerRevision(addr string, at revision.Revision) {
+	if !r.table.Revision().Less(at) {
 		return
 	}
 	select {
@@ -128,7 +130,7 @@
 func (r *Reader) readNext(ctx context.Context) error {
 	position := r.cfg.TreePosition()
 	r.depth.Store(int64(position.Depth))
-	if position.Parent == "" || r.table.Revision() == 0 || r.confirmOnce || time.Now().Before(r.directReadUntil) {
+	if position.Parent == "" || r.table.Revision().IsZero() || r.confirmOnce || time.Now().Before(r.directReadUntil) {
 		err := r.readPlatform(ctx, position)
 		r.confirmOnce = false
 		return err
@@ -156,8 +158,8 @@
 }
 
 // follow waits for changes and for a confirmation at the parent and merges them. It
-// returns a *StalePeerError if the parent cannot confirm its copy, and a
-// *LateParentError if it does not do so in time.
+// returns a *StalePeerError if the parent cannot confirm its copy or if that is of an
+// earlier era, and a *LateParentError if the parent does not respond in time.
 func (r *Reader) follow(runCtx context.Context, addr string) error {
 	if addr != r.parent {
 		r.parent, r.parentConfirmation = addr, 0
@@ -174,13 +176,16 @@
 	if err != nil {
 		return err
 	}
+	if page.Revision.Era < r.table.Revision().Era {
+		return &StalePeerError{Addr: addr, Revision: page.Revision}
+	}
 	confirmed := page.Fresh && (page.Confirmation == 0 || page.Confirmation != r.parentConfirmation)
 	r.parentConfirmation = page.Confirmation
 	if confirmed {
-		r.accept(time.Now().Add(-page.ConfirmedAge), func() { r.table.Merge(page) })
+		r.accept(time.Now().Add(-page.ConfirmedAge), func() { r.merge(page) })
 		r.listed.Store(true)
 	} else {
-		r.table.Merge(page)
+		r.merge(page)
 	}
 	if !page.Fresh {
 		return &StalePeerError{Addr: addr, Revision: page.Revision}
@@ -202,7 +207,8 @@
 }
 
 // readPlatform lists all items, or watches for changes if the table holds a
-// complete list.
+// complete list. It returns a *StaleEraError if the response is of an earlier era than
+// the table.
 func (r *Reader) readPlatform(runCtx context.Context, position TreePosition) error {
 	if !r.listed.Load() {
 		return r.listPlatform(runCtx)
@@ -210,12 +216,21 @@
 	wait := r.platformWait(position)
 	ctx, cancel := context.WithTimeout(runCtx, wait+watchGrace)
 	defer cancel()
-	page, err := r.cfg.Source.Watch(ctx, r.table.Revision(), wait)
+	after := r.table.Revision()
+	page, err := r.cfg.Source.Watch(ctx, after, wait)
 	if err != nil {
 		return err
 	}
+	page = page.assumeEra(after.Era)
+	if page.Revision.Era > after.Era {
+		// The changes continue from a state of the new era that the table lacks.
+		r.listed.Store(false)
+		return nil
+	}
 	applied := 0
-	r.accept(time.Now(), func() { applied = r.table.Merge(page) })
+	if err := r.acceptFromPlatform(page, func() { applied = r.merge(page).Applied }); err != nil {
+		return err
+	}
 	if applied > 0 {
 		sleep(runCtx, batchDelay)
 	}
@@ -245,12 +260,41 @@
 	if err != nil {
 		return err
 	}
+	page = page.assumeEra(r.table.Revision().Era)
+	page.Complete = true
+	if err := r.acceptFromPlatform(page, func() { r.merge(page) }); err != nil {
+		return err
+	}
 	r.listed.Store(true)
-	r.accept(time.Now(), func() { r.table.Replace(page) })
 	r.cfg.Observer.Listed(page.Revision, len(page.Items))
 	return nil
 }
 
+// acceptFromPlatform calls accept for a page that the platform has just sent. It
+// returns a *StaleEraError, and does not call accept, if the page is of an earlier era
+// than the table.
+func (r *Reader) acceptFromPlatform(page Page, merge func()) error {
+	if held := r.table.Revision(); page.Revision.Era < held.Era {
+		return &StaleEraError{Got: page.Revision, Held: held}
+	}
+	r.accept(time.Now(), merge)
+	return nil
+}
+
+// merge merges a page into the table. The first page of a new era counts as the end of
+// an outage: the platform may lack entries that are about to be restored.
+func (r *Reader) merge(page Page) MergeResult {
+	held := r.table.Revision()
+	if page.Complete && !held.IsZero() && held.Era < page.Revision.Era {
+		r.connectivity.restored(time.Now())
+	}
+	result := r.table.Merge(page)
+	if !result.EndedEra.IsZero() {
+		r.cfg.Observer.EraBegun(result.EndedEra, page.Revision, result.Applied, result.Dropped)
+	}
+	return result
+}
+
 // accept records a successful read that the platform sent at sentAt, and reports the
 // end of an outage. merge applies it before the nodes that wait for a confirmation are
 // woken, so that they get both in one response.
@@ -311,11 +355,10 @@
 		r.cfg.Observer.PeerFailed(addr, err)
 		return false
 	}
-	if page.Revision <= r.table.Revision() {
-		return page.Revision > 0
+	if !r.table.Revision().Less(page.Revision) {
+		return !page.Revision.IsZero()
 	}
-	applied := r.table.Merge(page)
-	r.cfg.Observer.MergedFromPeer(addr, page.Revision, applied)
+	r.cfg.Observer.MergedFromPeer(addr, page.Revision, r.merge(page).Applied)
 	return true
 }
 
--- a/internal/replica/removal_test.go
+++ b/internal/replica/removal_test.go
@@ -22,7 +22,7 @@
 		time.Sleep(batchDelay / 4)
 		old.reader.ObservePeerRevision("started", started.table.Revision())
 		time.Sleep(10 * time.Second)
-		if got := old.table.Revision(); got != 4 || !old.knowsDeleted("servers/leaving") {
+		if got := old.table.Revision().Number; got != 4 || !old.knowsDeleted("servers/leaving") {
 			t.Errorf("at revision %d, removal known: %t, want revision 4 and the removal", got, old.knowsDeleted("servers/leaving"))
 		}
 	})
--- a/internal/replica/shard.go
+++ b/internal/replica/shard.go
@@ -1,6 +1,11 @@
 package replica
 
-import "sync"
+import (
+	"maps"
+	"sync"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
+)
 
 // shard holds the items whose keys hash to it, including deleted keys.
 type shard struct {
@@ -14,20 +19,28 @@
 func (s *shard) putIfNewer(i Item) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old, ok := s.items[i.Key]; ok && old.Revision >= i.Revision {
+	if old, ok := s.items[i.Key]; ok && !old.Revision.Less(i.Revision) {
 		return false
 	}
 	s.items[i.Key] = i
 	return true
 }
 
-func (s *shard) appendItemsAfter(out []Item, afterRevision uint64) []Item {
+func (s *shard) appendItemsAfter(out []Item, after revision.Revision) []Item {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for _, i := range s.items {
-		if i.Revision > afterRevision {
+		if after.Less(i.Revision) {
 			out = append(out, i)
 		}
 	}
 	return out
 }
+
+// takeAll empties the shard and adds what it held to out.
+func (s *shard) takeAll(out map[string]Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.Copy(out, s.items)
+	s.items = map[string]Item{}
+}
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // Source reads the items that the platform publishes for this system.
@@ -15,6 +17,7 @@
 	// these changes.
 	List(ctx context.Context) (Page, error)
 	// Watch waits up to wait for changes after a revision. It returns a page
-	// without items if there were none.
-	Watch(ctx context.Context, afterRevision uint64, wait time.Duration) (Page, error)
+	// without items if there were none. If the page is of another era than the
+	// revision, its items do not continue from there.
+	Watch(ctx context.Context, afterRevision revision.Revision, wait time.Duration) (Page, error)
 }
--- a/internal/replica/table_test.go
+++ b/internal/replica/table_test.go
@@ -5,8 +5,13 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
+// at returns a revision of a platform that does not name its era.
+func at(number uint64) revision.Revision { return revision.Revision{Number: number} }
+
 // Guards against a table that replaces an item by an older one, or whose content
 // depends on the order in which changes arrive from the platform and from peers.
 func TestMergeConvergesInAnyOrder(t *testing.T) {
@@ -15,7 +20,7 @@
 		n := rapid.IntRange(1, 30).Draw(t, "changes")
 		for i := range n {
 			changes = append(changes, Item{
-				Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Revision: uint64(i + 1),
+				Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Revision: at(uint64(i + 1)),
 				Deleted: rapid.Bool().Draw(t, "deleted"),
 			})
 		}
@@ -23,11 +28,11 @@
 		for _, i := range changes {
 			newest[i.Key] = i
 		}
-		lastRevision := map[string]uint64{}
+		lastRevision := map[string]revision.Revision{}
 		table := NewTable(func(items []Item) {
 			for _, i := range items {
-				if i.Revision <= lastRevision[i.Key] {
-					t.Fatalf("%s went from revision %d to %d", i.Key, lastRevision[i.Key], i.Revision)
+				if !lastRevision[i.Key].Less(i.Revision) {
+					t.Fatalf("%s went from revision %v to %v", i.Key, lastRevision[i.Key], i.Revision)
 				}
 				lastRevision[i.Key] = i.Revision
 			}
@@ -35,13 +40,13 @@
 		for _, i := range rapid.Permutation(changes).Draw(t, "order") {
 			table.Merge(Page{Items: []Item{i}, Revision: i.Revision})
 		}
-		for _, got := range table.ChangesSince(0).Items {
+		for _, got := range table.ChangesSince(at(0)).Items {
 			if want := newest[got.Key]; got.Revision != want.Revision || got.Deleted != want.Deleted {
 				t.Fatalf("%s is %+v, want %+v", got.Key, got, want)
 			}
 		}
-		if table.Revision() != uint64(n) {
-			t.Fatalf("table is at revision %d, want %d", table.Revision(), n)
+		if table.Revision() != at(uint64(n)) {
+			t.Fatalf("table is at revision %v, want %d", table.Revision(), n)
 		}
 	})
 }
@@ -50,10 +55,10 @@
 // and against deleting keys that changed after the list's revision.
 func TestReplaceDeletesMissingKeys(t *testing.T) {
 	table := NewTable(func([]Item) {})
-	table.Merge(Page{Items: []Item{{Key: "old", Revision: 3}, {Key: "new", Revision: 9}}, Revision: 9})
-	table.Replace(Page{Items: []Item{{Key: "kept", Revision: 4}}, Revision: 7})
+	table.Merge(Page{Items: []Item{{Key: "old", Revision: at(3)}, {Key: "new", Revision: at(9)}}, Revision: at(9)})
+	table.Merge(Page{Items: []Item{{Key: "kept", Revision: at(4)}}, Revision: at(7), Complete: true})
 	got := map[string]bool{}
-	for _, i := range table.ChangesSince(0).Items {
+	for _, i := range table.ChangesSince(at(0)).Items {
 		got[i.Key] = !i.Deleted
 	}
 	if got["old"] || !got["new"] || !got["kept"] {
@@ -81,14 +86,15 @@
 				put()
 			case 1:
 				// The second part of the list is read after a further change.
-				page, _ := platform.pageAfter(0, true)
+				page, _ := platform.pageAfter(at(0), true)
 				put()
-				rest, _ := platform.pageAfter(0, true)
+				rest, _ := platform.pageAfter(at(0), true)
 				first := func(i Item) bool { return i.Key < "c" }
 				page.Items = append(slices.DeleteFunc(page.Items, func(i Item) bool { return !first(i) }), slices.DeleteFunc(rest.Items, first)...)
-				table.Replace(page)
+				page.Complete = true
+				table.Merge(page)
 			case 2:
-				if table.Revision() > 0 {
+				if !table.Revision().IsZero() {
 					page, _ := platform.pageAfter(table.Revision(), false)
 					table.Merge(page)
 				}
@@ -97,16 +103,16 @@
 			}
 		}
 		for n, table := range tables {
-			at, held := table.Revision(), map[string]Item{}
-			for _, i := range table.ChangesSince(0).Items {
+			reached, held := table.Revision(), map[string]Item{}
+			for _, i := range table.ChangesSince(at(0)).Items {
 				held[i.Key] = i
 			}
 			for key, now := range platform.items {
-				if now.Revision > at {
+				if reached.Less(now.Revision) {
 					continue
 				}
-				if got := held[key]; now.Deleted && got.Revision > 0 && !got.Deleted || !now.Deleted && got.Revision != now.Revision {
-					t.Fatalf("table %d at revision %d holds %s as %+v, want %+v", n, at, key, got, now)
+				if got := held[key]; now.Deleted && !got.Revision.IsZero() && !got.Deleted || !now.Deleted && got.Revision != now.Revision {
+					t.Fatalf("table %d at revision %v holds %s as %+v, want %+v", n, reached, key, got, now)
 				}
 			}
 		}
--- a/internal/replica/test_fleet_test.go
+++ b/internal/replica/test_fleet_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // testFleet connects nodes by name. It implements Fetcher.
@@ -25,7 +27,7 @@
 	return f.nodes[name]
 }
 
-func (f *testFleet) Fetch(ctx context.Context, addr string, after uint64) (Page, error) {
+func (f *testFleet) Fetch(ctx context.Context, addr string, after revision.Revision) (Page, error) {
 	return f.get(addr).publisher.Page(ctx, FollowRequest{AfterRevision: after}), ctx.Err()
 }
 
--- a/internal/replica/test_source_test.go
+++ b/internal/replica/test_source_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // testSource is one node's connection to the platform. While it is cut, reads
@@ -25,11 +27,11 @@
 		<-ctx.Done()
 		return Page{}, ctx.Err()
 	}
-	page, _ := s.platform.pageAfter(0, true)
+	page, _ := s.platform.pageAfter(revision.Revision{}, true)
 	return page, nil
 }
 
-func (s *testSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Page, error) {
+func (s *testSource) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (Page, error) {
 	s.reads.Add(1)
 	timeout := time.After(wait)
 	for {
@@ -40,6 +42,9 @@
 			return Page{}, &OversizedPageError{Limit: 1}
 		}
 		page, changed := s.platform.pageAfter(after, false)
+		if after.Number > page.Revision.Number {
+			return Page{}, &CompactedError{Revision: after}
+		}
 		if len(page.Items) > 0 && !s.cut.Load() {
 			return page, nil
 		}
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -26,6 +26,7 @@
 	"github.com/filbertpier/filbertpier/internal/instance"
 	"github.com/filbertpier/filbertpier/internal/mesh"
 	"github.com/filbertpier/filbertpier/internal/replica"
+	"github.com/filbertpier/filbertpier/internal/revision"
 	"github.com/filbertpier/filbertpier/internal/settings"
 	"github.com/filbertpier/filbertpier/internal/sidecar"
 	"github.com/filbertpier/filbertpier/snapshot"
@@ -35,10 +36,10 @@
 
 // store is an in-memory stand-in for the platform's store.
 type store struct {
-	mu       sync.Mutex
-	items    map[string]replica.Item
-	revision uint64
-	changed  chan struct{}
+	mu      sync.Mutex
+	items   map[string]replica.Item
+	at      revision.Revision
+	changed chan struct{}
 }
 
 func newStore() *store {
@@ -50,20 +51,20 @@
 	raw, _ := json.Marshal(value)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
-	s.items[key] = replica.Item{Key: key, Value: raw, Revision: s.revision, Deleted: value == nil}
+	s.at.Number++
+	s.items[key] = replica.Item{Key: key, Value: raw, Revision: s.at, Deleted: value == nil}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // changesSince returns the items that changed after a revision, sorted by key, and
 // a channel that is closed at the next change.
-func (s *store) changesSince(revision uint64) (replica.Page, chan struct{}) {
+func (s *store) changesSince(after revision.Revision) (replica.Page, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	page := replica.Page{Revision: s.revision}
+	page := replica.Page{Revision: s.at}
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
-		if i := s.items[key]; i.Revision > revision {
+		if i := s.items[key]; i.Revision.Number > after.Number {
 			page.Items = append(page.Items, i)
 		}
 	}
@@ -84,16 +85,16 @@
 	if s.down.Load() {
 		return replica.Page{}, downError{}
 	}
-	page, _ := s.store.changesSince(0)
+	page, _ := s.store.changesSince(revision.Revision{})
 	return page, nil
 }
 
-func (s *source) Watch(ctx context.Context, revision uint64, wait time.Duration) (replica.Page, error) {
+func (s *source) Watch(ctx context.Context, after revision.Revision, wait time.Duration) (replica.Page, error) {
 	for {
 		if s.down.Load() {
 			return replica.Page{}, downError{}
 		}
-		page, changed := s.store.changesSince(revision)
+		page, changed := s.store.changesSince(after)
 		if len(page.Items) > 0 {
 			return page, nil
 		}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -20,6 +20,7 @@
 	"github.com/filbertpier/filbertpier/internal/quarantine/reports"
 	"github.com/filbertpier/filbertpier/internal/replica"
 	"github.com/filbertpier/filbertpier/internal/replica/peers"
+	"github.com/filbertpier/filbertpier/internal/revision"
 	"github.com/filbertpier/filbertpier/internal/settings"
 	"github.com/filbertpier/filbertpier/snapshot"
 )
@@ -74,7 +75,7 @@
 		UpstreamAddr: s.Upstream, PeerPort: port(s.Listen.Nodes), LocalIP: s.LocalIP,
 		LinkBytesPerSecond: s.LinkBytesPerSecond,
 		Store:              store, Directory: directory, Revision: table.Revision,
-		ObservePeerRevision: func(host string, revision uint64) { n.reader.ObservePeerRevision(client.ControlAddr(host), revision) },
+		ObservePeerRevision: func(host string, at revision.Revision) { n.reader.ObservePeerRevision(client.ControlAddr(host), at) },
 		Quarantine:          guard,
 		Crashes:             reports.NewSender(func() []string { return client.ServicePeers(s.Service) }),
 		Log:                 log.Named("call"), Metrics: mesh.NewMetrics(registry),
--- a/internal/sidecar/observer.go
+++ b/internal/sidecar/observer.go
@@ -7,6 +7,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/filbertpier/filbertpier/internal/revision"
 )
 
 // observer logs and counts the events of the node's replica.Reader. It
@@ -45,15 +47,22 @@
 }
 
 // Listed implements replica.Observer.
-func (o *observer) Listed(revision uint64, items int) {
+func (o *observer) Listed(at revision.Revision, items int) {
 	o.events.WithLabelValues("listed").Inc()
-	o.log.Info("listed all items", "revision", revision, "items", items)
+	o.log.Info("listed all items", "revision", at.String(), "items", items)
 }
 
 // Relisting implements replica.Observer.
-func (o *observer) Relisting(revision uint64) {
+func (o *observer) Relisting(after revision.Revision) {
 	o.events.WithLabelValues("relisting").Inc()
-	o.log.Info("platform history compacted, listing all items again", "revision", revision)
+	o.log.Info("platform history compacted, listing all items again", "revision", after.String())
+}
+
+// EraBegun implements replica.Observer.
+func (o *observer) EraBegun(held, first revision.Revision, applied, dropped int) {
+	o.events.WithLabelValues("era-begun").Inc()
+	o.log.Warn("platform returned from an older copy", "held", held.String(), "revision", first.String(), "applied", applied,
+		"dropped", dropped)
 }
 
 // PeerFailed implements replica.Observer.
@@ -63,7 +72,7 @@
 }
 
 // MergedFromPeer implements replica.Observer.
-func (o *observer) MergedFromPeer(addr string, revision uint64, changes int) {
+func (o *observer) MergedFromPeer(addr string, at revision.Revision, changes int) {
 	o.events.WithLabelValues("from-peer").Inc()
-	o.log.Info("received items from a peer", "addr", addr, "revision", revision, "news", changes)
+	o.log.Info("received items from a peer", "addr", addr, "revision", at.String(), "news", changes)
 }
