replica: pause between lists that do not help

A node whose watch got 410 listed all items and watched again at once.

The first 410 is still followed by a list at once. From the second one without a watch in between on, the usual backoff applies, and a list that succeeds does not reset it.

--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -38,6 +38,9 @@
 	// confirmation of its last response.
 	parent             string
 	parentConfirmation uint64
+	// relisted is set if the platform has not answered a watch since it last lacked
+	// the changes after the table's revision.
+	relisted bool
 }
 
 // NewReader returns a reader for a table. Run starts it.
@@ -101,22 +104,12 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := r.readNext(ctx)
-		if err == nil {
+		if err == nil && !r.relisted {
 			backoff = minBackoff
-			continue
 		}
-		var compacted *CompactedError
-		if errors.As(err, &compacted) {
-			r.cfg.Observer.Relisting(compacted.Revision)
-			r.listed.Store(false)
+		if err == nil || r.recordFailure(err) {
 			continue
 		}
-		var oversized *OversizedPageError
-		if errors.As(err, &oversized) {
-			// A list comes in pages, each of which is shorter than a watch's changes.
-			r.listed.Store(false)
-		}
-		r.markDisconnected(err)
 		if !sleep(ctx, backoff/2+rand.N(backoff)) {
 			return
 		}
@@ -124,6 +117,26 @@
 	}
 }
 
+// recordFailure records a failed read and reports whether the next one may follow at
+// once. It may if the platform lacks the changes after the table's revision, unless it
+// lacked them before too and a list did not help: the node would list without a pause.
+func (r *Reader) recordFailure(err error) (retryAtOnce bool) {
+	var compacted *CompactedError
+	if errors.As(err, &compacted) {
+		r.cfg.Observer.Relisting(compacted.Revision)
+		r.listed.Store(false)
+		retryAtOnce, r.relisted = !r.relisted, true
+		return retryAtOnce
+	}
+	var oversized *OversizedPageError
+	if errors.As(err, &oversized) {
+		// A list comes in pages, each of which is shorter than a watch's changes.
+		r.listed.Store(false)
+	}
+	r.markDisconnected(err)
+	return false
+}
+
 // readNext reads once, from the node's parent or from the platform. After a
 // failure of the parent it returns nil, so that the next read goes to the
 // platform without a backoff.
@@ -221,6 +234,7 @@
 	if err != nil {
 		return err
 	}
+	r.relisted = false
 	page = page.assumeEra(after.Era)
 	if page.Revision.Era > after.Era {
 		// The changes continue from a state of the new era that the table lacks.
