instance: an entry from a copy brings no instance back

Cause: after the store's return from an older copy the directory took each listed entry for news. The copy may be from before a run of an upstream said that it drains, or before its entry was removed; calls then reached an upstream that leaves, later than drain_ms after the store had acknowledged that (DRAIN). In the same way the copy gave an address back to its former owner, and made a warm upstream cold.

Change: the directory remembers the start and the era of each instance that was listed as draining or removed. An entry of the same start in a later era stays draining if it had said so. If it was removed while the platform was stable it counts once it is written again in that era, or after 5 s if it is still listed then: the entry of a silent upstream has lapsed by that time. Between entries of two eras at one address the later start has it. ColdUntil of the same start does not grow across eras.

Ruled out: ignoring such entries for good. An upstream whose entry had lapsed without its fault, and that writes nothing new, would get no calls.

--- a/internal/feed/applier.go
+++ b/internal/feed/applier.go
@@ -110,6 +110,8 @@
 	grace := removedGrace
 	if a.Unstable(now) {
 		grace = expiredGrace
+	} else {
+		a.directory.Withdraw(now, d.change.RemovedID, d.revision)
 	}
 	a.directory.Lapse(now, d.change.RemovedID, d.revision, grace)
 	a.log.Info("upstream entry removed", "instance", d.change.RemovedID, "revision", d.revision.String(), "grace_ms", grace.Milliseconds())
--- a/internal/instance/addr_shard.go
+++ b/internal/instance/addr_shard.go
@@ -10,8 +10,7 @@
 	byAddr map[string]*Instance
 }
 
-// claim assigns the address to i unless another instance with a later revision
-// has it. It returns the instance that lost the address: the previous one, or i
+// claim assigns the address to i unless another instance with a later claim has it. It returns the instance that lost the address: the previous one, or i
 // itself if it was not assigned. It returns nil if no other instance had it.
 func (s *addrShard) claim(i *Instance) (superseded *Instance) {
 	s.mu.Lock()
@@ -21,7 +20,7 @@
 		s.byAddr[i.Addr] = i
 		return nil
 	}
-	if i.Revision.Less(current.Revision) {
+	if current.claimedAfter(i) {
 		return i
 	}
 	s.byAddr[i.Addr] = i
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -22,10 +22,13 @@
 // safe for concurrent use.
 type Directory struct {
 	// changes serializes the methods that change the directory, which each
-	// take the locks of several shards in turn, and guards leaving and evacuated.
+	// take the locks of several shards in turn, and guards leaving, withdrawn and
+	// evacuated.
 	changes sync.Mutex
 	// evacuated holds the zones whose instances get no calls.
 	evacuated map[string]bool
+	// withdrawn holds the instances that the platform listed as draining or removed.
+	withdrawn withdrawals
 	// leaving holds the instances, by id, that said that they leave. An instance
 	// stays here after it was removed from the shards.
 	leaving  map[string]leavingMark
@@ -36,7 +39,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	d := &Directory{leaving: map[string]leavingMark{}, evacuated: map[string]bool{}}
+	d := &Directory{leaving: map[string]leavingMark{}, evacuated: map[string]bool{}, withdrawn: newWithdrawals()}
 	for i := range directoryShards {
 		d.services[i].byService = map[string][]*Instance{}
 		d.ids[i].byID = map[string]*Instance{}
@@ -60,10 +63,16 @@
 // Put stores an instance and replaces any instance with the same id. If two
 // instances have the same address, the one with the lower revision becomes Gone,
 // because the platform lists a crashed upstream for some seconds more: calls to it
-// would reach the upstream that now uses the address, which refuses them.
+// would reach the upstream that now uses the address, which refuses them. Between
+// entries of two eras of the platform the later start decides. An entry that may be from
+// a copy of the platform does not bring an instance back that had left.
 func (d *Directory) Put(i *Instance) {
 	d.changes.Lock()
 	defer d.changes.Unlock()
+	i = d.withdrawn.admit(i)
+	if old := d.Get(i.ID); old != nil {
+		i = i.withoutSecondColdStart(old)
+	}
 	d.put(i)
 }
 
@@ -96,11 +105,23 @@
 	d.serviceShard(i.Service).put(i)
 }
 
+// Withdraw records that an entry is about to lapse which the platform removed while it
+// was stable. An entry of the same start in a later era, from a copy of the platform,
+// does not count at once then.
+func (d *Directory) Withdraw(now time.Time, id string, at revision.Revision) {
+	d.changes.Lock()
+	defer d.changes.Unlock()
+	if i := d.Get(id); i != nil {
+		d.withdrawn.remove(now, i, at.Era)
+	}
+}
+
 // Lapse records that the platform no longer lists an instance. The instance
 // becomes gone after the grace period, or at once if it was draining.
 func (d *Directory) Lapse(now time.Time, id string, at revision.Revision, grace time.Duration) {
 	d.changes.Lock()
 	defer d.changes.Unlock()
+	d.withdrawn.unlist(id)
 	old := d.Get(id)
 	if old == nil || old.State >= Lapsed {
 		return
@@ -206,10 +227,15 @@
 }
 
 // Expire removes lapsed and gone instances whose StateSince is more than
-// goneRetention ago, and marks of leaving instances after leavingRetention.
+// goneRetention ago, and marks of leaving instances after leavingRetention. It also
+// applies what the directory did not follow at once after the platform's return from a
+// copy.
 func (d *Directory) Expire(now time.Time) {
 	d.changes.Lock()
 	defer d.changes.Unlock()
+	for _, i := range d.withdrawn.takeDue(now) {
+		d.put(i)
+	}
 	for _, i := range d.All() {
 		if i.State >= Lapsed && now.Sub(i.StateSince) > goneRetention {
 			d.idShard(i.ID).remove(i.ID)
@@ -222,4 +248,5 @@
 			delete(d.leaving, id)
 		}
 	}
+	d.withdrawn.expire(now)
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -75,3 +75,25 @@
 	c.State = Gone
 	return &c
 }
+
+// claimedAfter reports whether i's claim on the address that it shares with o is the later
+// one. The revisions decide. If they are of two eras of the platform, one of the entries
+// may be from a copy, and the later start decides if both are known.
+func (i *Instance) claimedAfter(o *Instance) bool {
+	if i.Revision.Era != o.Revision.Era && i.StartedAtMs != o.StartedAtMs && min(i.StartedAtMs, o.StartedAtMs) > 0 {
+		return i.StartedAtMs > o.StartedAtMs
+	}
+	return o.Revision.Less(i.Revision)
+}
+
+// withoutSecondColdStart returns the instance with the ColdUntil of old if both are the
+// same start and the entry is of a later era of the platform: it may be from a copy and
+// name the time that was left when it was written.
+func (i *Instance) withoutSecondColdStart(old *Instance) *Instance {
+	if i.StartedAtMs != old.StartedAtMs || i.Revision.Era <= old.Revision.Era || !old.ColdUntil.Before(i.ColdUntil) {
+		return i
+	}
+	c := *i
+	c.ColdUntil = old.ColdUntil
+	return &c
+}
