instance: a copy without the request ends no evacuation at once

Cause: after the store's return from a copy that is older than the operator's request to evacuate a zone, the first list of the new era lacks the request, and its zone got calls again until the operator had written it again (EVAC).

A removal that follows in the same era ends it at once, and the start of one counts at once in any era.

Measured: TestCopyDoesNotEndAnEvacuation fails without the change.

--- a/internal/feed/applier.go
+++ b/internal/feed/applier.go
@@ -55,7 +55,7 @@
 		case d.change.Instance != nil:
 			a.applyInstance(d)
 		case d.change.Evacuation != nil:
-			a.applyEvacuation(d)
+			a.applyEvacuation(now, d)
 		case d.change.Snapshot != nil:
 			versions = append(versions, d)
 		case d.change.RemovedID != "":
@@ -85,9 +85,9 @@
 		"slots", i.Slots, "zone", i.Zone, "revision", d.revision.String())
 }
 
-func (a *Applier) applyEvacuation(d decodedItem) {
+func (a *Applier) applyEvacuation(now time.Time, d decodedItem) {
 	e := d.change.Evacuation
-	if a.directory.SetEvacuated(e.Zone, e.Active) {
+	if a.directory.SetEvacuated(now, e.Zone, e.Active, d.revision) {
 		a.log.Info("evacuation of a zone", "zone", e.Zone, "active", e.Active, "revision", d.revision.String())
 	}
 }
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -26,7 +26,7 @@
 	// evacuated.
 	changes sync.Mutex
 	// evacuated holds the zones whose instances get no calls.
-	evacuated map[string]bool
+	evacuated map[string]evacuation
 	// withdrawn holds the instances that the platform listed as draining or removed.
 	withdrawn withdrawals
 	// leaving holds the instances, by id, that said that they leave. An instance
@@ -39,7 +39,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	d := &Directory{leaving: map[string]leavingMark{}, evacuated: map[string]bool{}, withdrawn: newWithdrawals()}
+	d := &Directory{leaving: map[string]leavingMark{}, evacuated: map[string]evacuation{}, withdrawn: newWithdrawals()}
 	for i := range directoryShards {
 		d.services[i].byService = map[string][]*Instance{}
 		d.ids[i].byID = map[string]*Instance{}
@@ -78,7 +78,8 @@
 
 // put implements Put. The caller holds changes.
 func (d *Directory) put(i *Instance) {
-	i = i.withEvacuated(d.evacuated[i.Zone])
+	_, evacuated := d.evacuated[i.Zone]
+	i = i.withEvacuated(evacuated)
 	if mark, ok := d.leaving[i.ID]; ok && i.State == Ready && mark.startedAtMs == i.StartedAtMs {
 		i = i.asDraining()
 	}
@@ -159,24 +160,36 @@
 }
 
 // SetEvacuated starts or ends the evacuation of a zone and reports whether that is a
-// change. The zone's instances, those listed later included, get no calls meanwhile.
-func (d *Directory) SetEvacuated(zone string, evacuated bool) bool {
+// change. The zone's instances, those listed later included, get no calls meanwhile. If
+// the platform no longer lists a request of an earlier era, a copy may lack it: the
+// evacuation ends after restoredGrace unless the request is listed again.
+func (d *Directory) SetEvacuated(now time.Time, zone string, evacuated bool, at revision.Revision) bool {
 	d.changes.Lock()
 	defer d.changes.Unlock()
-	if d.evacuated[zone] == evacuated {
+	known, ok := d.evacuated[zone]
+	switch {
+	case evacuated:
+		d.evacuated[zone] = evacuation{era: at.Era}
+	case ok && known.era < at.Era:
+		d.evacuated[zone] = evacuation{era: at.Era, endsAt: now.Add(restoredGrace)}
 		return false
-	}
-	if evacuated {
-		d.evacuated[zone] = true
-	} else {
+	default:
 		delete(d.evacuated, zone)
 	}
+	if ok == evacuated {
+		return false
+	}
+	d.markEvacuated(zone, evacuated)
+	return true
+}
+
+// markEvacuated marks the instances of a zone. The caller holds changes.
+func (d *Directory) markEvacuated(zone string, evacuated bool) {
 	for _, i := range d.All() {
 		if i.Zone == zone {
 			d.store(i.withEvacuated(evacuated))
 		}
 	}
-	return true
 }
 
 // EvacuatedZones returns the number of zones that are evacuated.
@@ -236,6 +249,12 @@
 	for _, i := range d.withdrawn.takeDue(now) {
 		d.put(i)
 	}
+	for zone, e := range d.evacuated {
+		if !e.endsAt.IsZero() && !now.Before(e.endsAt) {
+			delete(d.evacuated, zone)
+			d.markEvacuated(zone, false)
+		}
+	}
 	for _, i := range d.All() {
 		if i.State >= Lapsed && now.Sub(i.StateSince) > goneRetention {
 			d.idShard(i.ID).remove(i.ID)
--- a/internal/instance/evacuation_test.go
+++ b/internal/instance/evacuation_test.go
@@ -16,7 +16,7 @@
 	d := NewDirectory()
 	d.Put(inZone("before", "a:1", "z1", 1))
 	d.Put(inZone("other", "b:1", "z2", 2))
-	if !d.SetEvacuated("z1", true) || d.SetEvacuated("z1", true) {
+	if !d.SetEvacuated(start, "z1", true, at(2)) || d.SetEvacuated(start, "z1", true, at(2)) {
 		t.Error("SetEvacuated reports a change when there is none, or none when there is one")
 	}
 	d.Put(inZone("during", "c:1", "z1", 3))
@@ -27,7 +27,7 @@
 	}
 	d.Put(inZone("before", "a:1", "z1", 6))
 	d.MarkLeaving(start, d.Get("during"))
-	d.SetEvacuated("z1", false)
+	d.SetEvacuated(start, "z1", false, at(7))
 	if got := servingIDs(d, "s"); len(got) != 2 || !got["other"] || !got["before"] {
 		t.Errorf("serving after the evacuation: %v, want other and before: during has said that it leaves", got)
 	}
--- a/internal/instance/returned_platform_test.go
+++ b/internal/instance/returned_platform_test.go
@@ -125,3 +125,29 @@
 		}
 	}
 }
+
+// Guards against calls to an evacuated zone because the platform returned from a copy
+// without the operator's request, and against an evacuation that never ends.
+func TestCopyDoesNotEndAnEvacuation(t *testing.T) {
+	evacuated := func(d *Directory) bool { return d.EvacuatedZones() == 1 }
+	d := NewDirectory()
+	d.SetEvacuated(start, "z", true, in(1, 5))
+	if d.SetEvacuated(start, "z", false, in(2, 4)) || !evacuated(d) {
+		t.Error("the copy without the request ended the evacuation")
+	}
+	d.Expire(start.Add(restoredGrace - time.Millisecond))
+	d.SetEvacuated(start, "z", true, in(2, 6))
+	d.Expire(start.Add(time.Hour))
+	if !evacuated(d) {
+		t.Error("the evacuation ended although the request was written again")
+	}
+	if !d.SetEvacuated(start, "z", false, in(2, 7)) || evacuated(d) {
+		t.Error("the operator's word of the same era did not end the evacuation")
+	}
+	d.SetEvacuated(start, "z", true, in(2, 8))
+	d.SetEvacuated(start, "z", false, in(3, 4))
+	d.Expire(start.Add(restoredGrace))
+	if evacuated(d) {
+		t.Error("the evacuation goes on although the request was not written again")
+	}
+}
