control: read again what the platform holds below the last revision

Cause: a watch of the manifest that ends without a newer revision names the platform's revision, and the next watch continued from there. If the platform had returned from an older copy, or restarted, and had published a version while the watch waited, that revision was the version's own, and no node ever read it. The same holds for the list of VMs.

Change: after a read that ended unchanged at a lower revision the next one starts from zero, so it returns at once what the platform holds. The order of versions decides whether that is applied.

Measured: TestVersionAfterReturnOfThePlatformIsAdopted (virtual time, 18 nodes in three regions): all three cases fail before, none after.

--- a/internal/control/platform_answers.go
+++ b/internal/control/platform_answers.go
@@ -20,7 +20,8 @@
 		return
 	}
 	a.platform.recordRead(now)
-	a.finishManifestRead(watch, now, &ans.Revision)
+	continueAfter := nextWatchRevision(ans)
+	a.finishManifestRead(watch, now, &continueAfter)
 	if !ans.Unchanged {
 		a.onPublishedManifest(now, ans.Value, out)
 	}
@@ -30,15 +31,27 @@
 	}
 }
 
+// nextWatchRevision returns the revision from which the next read continues. It follows
+// the platform's even if that decreases, since a restarted platform may count from the
+// start again, and one that returned from an older copy gives revisions out again. If a
+// read ended unchanged at a lower revision, the node does not know what the platform holds
+// there: zero makes the next read return it at once.
+func nextWatchRevision(ans effect.PlatformResult) uint64 {
+	if ans.Unchanged && ans.Revision < ans.Read.AfterRevision {
+		return 0
+	}
+	return ans.Revision
+}
+
 // finishManifestRead records the end of a manifest read. If it was a watch, the
-// next one may start at notBefore. The revision follows the platform's even if
-// it decreases, since a restarted platform may count from the start again.
-func (a *Agent) finishManifestRead(watch bool, notBefore time.Time, revision *uint64) {
+// next one may start at notBefore. continueAfter is where it continues from; nil after a
+// failure.
+func (a *Agent) finishManifestRead(watch bool, notBefore time.Time, continueAfter *uint64) {
 	p := &a.platform
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if revision != nil {
-		p.manifestRevision = *revision
+	if continueAfter != nil {
+		p.manifestRevision = *continueAfter
 	}
 	if watch {
 		p.manifestWatchStarted = time.Time{}
@@ -153,7 +166,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.vmListRevision = ans.Revision
+	p.vmListRevision = nextWatchRevision(ans)
 	p.mu.Unlock()
 	for _, vm := range ans.VMs {
 		a.mergeListedVM(now, vm, out)
