faultsoak: the store returns from an older copy

The soak had no store that goes back. Now it is away for up to a second, returns from a copy of up to 4 s of age in the next era, and writes again, in another order and over up to 2 s, the last write of each key that it lost. Watches of some nodes are cut, others go on to wait through the return. A store that goes away after the news of a drain or an evacuation had time to reach the nodes does not excuse calls there: what a node knows binds it.

--- a/tools/faultsoak/evacuation.go
+++ b/tools/faultsoak/evacuation.go
@@ -53,7 +53,7 @@
 	u.mu.Lock()
 	since := u.evacuatedSince
 	u.mu.Unlock()
-	if u.testbed.overdue(since, maxEvacuationDelay) {
+	if u.testbed.newsOverdue(since, maxEvacuationDelay) {
 		u.testbed.violations.add("EVAC", "attempt %s reached %s %s after its zone was evacuated", id, u.entry.ID, time.Since(since))
 	}
 }
--- a/tools/faultsoak/faults.go
+++ b/tools/faultsoak/faults.go
@@ -21,13 +21,7 @@
 			pause(100 * time.Millisecond)
 		}
 	}},
-	{"replace", true, func(tb *testbed, m *vm, _ *rand.Rand, _ time.Duration) {
-		m.upstream.drain()
-		pause(300 * time.Millisecond)
-		if err := m.upstream.start(); err != nil {
-			tb.violations.add("START", "%v", err)
-		}
-	}},
+	{"replace", true, func(tb *testbed, m *vm, _ *rand.Rand, _ time.Duration) { tb.replaceUpstream(m) }},
 	{"kill", false, func(_ *testbed, m *vm, _ *rand.Rand, d time.Duration) {
 		p := m.signal(syscall.SIGKILL, true)
 		pause(d)
@@ -88,3 +82,12 @@
 	pause(d)
 	rate.Store(0)
 }
+
+// replaceUpstream drains the upstream of a VM and starts a new one in its place.
+func (tb *testbed) replaceUpstream(m *vm) {
+	m.upstream.drain()
+	pause(300 * time.Millisecond)
+	if err := m.upstream.start(); err != nil {
+		tb.violations.add("START", "%v", err)
+	}
+}
--- a/tools/faultsoak/faulty_store.go
+++ b/tools/faultsoak/faulty_store.go
@@ -11,6 +11,8 @@
 type faultyStore struct {
 	next http.Handler
 	mode atomic.Int32
+	// away is set while the store is away before it returns from a copy.
+	away atomic.Bool
 }
 
 // The modes of a faultyStore. storeModeCount is the number of modes.
@@ -27,6 +29,9 @@
 
 // ServeHTTP forwards, delays or fails the request, depending on the mode.
 func (s *faultyStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.away.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	switch s.mode.Load() {
 	case storeUnavailable:
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/tools/faultsoak/injector.go
+++ b/tools/faultsoak/injector.go
@@ -38,6 +38,7 @@
 func (i *injector) run(d time.Duration) {
 	start := time.Now()
 	i.wg.Go(func() { i.testbed.evacuateZones(d) })
+	i.wg.Go(func() { i.testbed.returnStore(d) })
 	for time.Since(start) < d {
 		planned := int(time.Since(start)/phaseDuration)%2 == 0
 		i.step(planned)
--- a/tools/faultsoak/run.go
+++ b/tools/faultsoak/run.go
@@ -32,6 +32,7 @@
 	var callers sync.WaitGroup
 	tb.startCallers(ctx, &callers)
 	newInjector(tb).run(o.Duration)
+	tb.returnStoreInCalm()
 	pause(recoveryTime)
 	tb.publisher.publish()
 	pause(maxApplyDelay + probeInterval)
--- a/tools/faultsoak/soak_test.go
+++ b/tools/faultsoak/soak_test.go
@@ -124,3 +124,27 @@
 		}
 	}
 }
+
+// Guards against a check of drains that excuses calls because the store went away after
+// the news of the drain had reached the nodes, and against one that reports calls although
+// it went away before that.
+func TestOnlyAnEarlyReturnOfTheStoreExcusesLateNews(t *testing.T) {
+	for _, c := range []struct {
+		awayAfter time.Duration
+		ended     bool
+		want      bool
+	}{
+		{-10 * time.Second, true, true}, {-10 * time.Second, false, false}, {-time.Second, true, false},
+		{newsTime / 2, true, false}, {newsTime + time.Millisecond, true, true}, {newsTime + time.Millisecond, false, true},
+	} {
+		tb := &testbed{}
+		drained := time.Now().Add(-3 * time.Second)
+		tb.returns.begin(drained.Add(c.awayAfter))
+		if c.ended {
+			tb.returns.end(drained.Add(c.awayAfter + time.Second))
+		}
+		if got := tb.newsOverdue(drained, maxDrainDelay); got != c.want {
+			t.Errorf("store away %s after the drain, returned: %t: overdue is %t, want %t", c.awayAfter, c.ended, got, c.want)
+		}
+	}
+}
--- a/tools/faultsoak/testbed.go
+++ b/tools/faultsoak/testbed.go
@@ -40,6 +40,8 @@
 	// faultsUntil is when the last fault ended, in Unix nanoseconds. While a fault
 	// is active, it is in the future.
 	faultsUntil atomic.Int64
+	// returns holds the times at which the store was away.
+	returns storeReturns
 	// steps counts the faults and planned work that were started.
 	steps int
 }
@@ -141,13 +143,23 @@
 	}
 }
 
-// faultFreeSince reports whether no fault has been active since t.
-func (tb *testbed) faultFreeSince(t time.Time) bool { return tb.faultsUntil.Load() < t.UnixNano() }
+// faultFreeSince reports whether no fault has been active since t, and the store was not
+// away.
+func (tb *testbed) faultFreeSince(t time.Time) bool {
+	return tb.faultsUntil.Load() < t.UnixNano() && !tb.returns.overlap(t, time.Now())
+}
 
 // overdue reports whether an event is longer ago than limit and no fault may have delayed
 // the news of it. A zero time is no event.
 func (tb *testbed) overdue(event time.Time, limit time.Duration) bool {
-	return !event.IsZero() && time.Since(event) >= limit && tb.faultFreeSince(event.Add(-faultFreePeriod))
+	return !event.IsZero() && time.Since(event) >= limit && tb.faultsUntil.Load() < event.Add(-faultFreePeriod).UnixNano()
+}
+
+// newsOverdue reports whether overdue holds for an event that the store published, and the
+// store was not away before its news had reached the nodes. What they know binds them, also
+// if the store then returns from a copy.
+func (tb *testbed) newsOverdue(event time.Time, limit time.Duration) bool {
+	return tb.overdue(event, limit) && !tb.returns.overlap(event.Add(-faultFreePeriod), event.Add(newsTime))
 }
 
 // startCallers starts the callers and the version probe of each VM. They stop
--- a/tools/faultsoak/upstream.go
+++ b/tools/faultsoak/upstream.go
@@ -149,7 +149,7 @@
 	u.mu.Lock()
 	since := u.drainingSince
 	u.mu.Unlock()
-	if u.testbed.overdue(since, maxDrainDelay) {
+	if u.testbed.newsOverdue(since, maxDrainDelay) {
 		u.testbed.violations.add("DRAIN", "attempt %s reached %s %s after it announced the drain", id, u.entry.ID, time.Since(since))
 	}
 }
