replica, instance: split the reader and the directory by role

What it reads from the platform, from its parent and from other nodes stands in a file each; so do evacuations in the directory.

--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -159,46 +159,6 @@
 	return true
 }
 
-// SetEvacuated starts or ends the evacuation of a zone and reports whether that is a
-// change. The zone's instances, those listed later included, get no calls meanwhile. If
-// the platform no longer lists a request of an earlier era, a copy may lack it: the
-// evacuation ends after restoredGrace unless the request is listed again.
-func (d *Directory) SetEvacuated(now time.Time, zone string, evacuated bool, at revision.Revision) bool {
-	d.changes.Lock()
-	defer d.changes.Unlock()
-	known, ok := d.evacuated[zone]
-	switch {
-	case evacuated:
-		d.evacuated[zone] = evacuation{era: at.Era}
-	case ok && known.era < at.Era:
-		d.evacuated[zone] = evacuation{era: at.Era, endsAt: now.Add(restoredGrace)}
-		return false
-	default:
-		delete(d.evacuated, zone)
-	}
-	if ok == evacuated {
-		return false
-	}
-	d.markEvacuated(zone, evacuated)
-	return true
-}
-
-// markEvacuated marks the instances of a zone. The caller holds changes.
-func (d *Directory) markEvacuated(zone string, evacuated bool) {
-	for _, i := range d.All() {
-		if i.Zone == zone {
-			d.store(i.withEvacuated(evacuated))
-		}
-	}
-}
-
-// EvacuatedZones returns the number of zones that are evacuated.
-func (d *Directory) EvacuatedZones() int {
-	d.changes.Lock()
-	defer d.changes.Unlock()
-	return len(d.evacuated)
-}
-
 // Get returns the instance with an id, or nil.
 func (d *Directory) Get(id string) *Instance { return d.idShard(id).get(id) }
 
@@ -249,12 +209,7 @@
 	for _, i := range d.withdrawn.takeDue(now) {
 		d.put(i)
 	}
-	for zone, e := range d.evacuated {
-		if !e.endsAt.IsZero() && !now.Before(e.endsAt) {
-			delete(d.evacuated, zone)
-			d.markEvacuated(zone, false)
-		}
-	}
+	d.endDueEvacuations(now)
 	for _, i := range d.All() {
 		if i.State >= Lapsed && now.Sub(i.StateSince) > goneRetention {
 			d.idShard(i.ID).remove(i.ID)
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -152,147 +152,16 @@
 	return nil
 }
 
-// planAfterPoll decides where the next reads go after a poll of the parent. A single
-// late response costs one read of the platform; a parent that is late twice in a row, or
-// that failed, is left for directReadTime.
-func (r *Reader) planAfterPoll(parent string, err error) {
-	if err == nil {
-		r.lateParent = false
-		return
-	}
-	r.cfg.Observer.PeerFailed(parent, err)
-	var late *LateParentError
-	if errors.As(err, &late) && !r.lateParent {
-		r.lateParent, r.confirmOnce = true, true
-		return
-	}
-	r.lateParent = false
-	r.directReadUntil = time.Now().Add(directReadTime)
-}
-
-// follow waits for changes and for a confirmation at the parent and merges them. It
-// returns a *StalePeerError if the parent cannot confirm its copy or if that is of an
-// earlier era, and a *LateParentError if the parent does not respond in time.
-func (r *Reader) follow(runCtx context.Context, addr string) error {
-	if addr != r.parent {
-		r.parent, r.parentConfirmation = addr, 0
-	}
-	wait, timeout := followTimes(r.freshLeft(time.Now()))
-	ctx, cancel := context.WithTimeout(runCtx, timeout)
-	defer cancel()
-	page, err := r.cfg.Peers.Follow(ctx, addr, FollowRequest{
-		AfterRevision: r.table.Revision(), Confirmation: r.parentConfirmation, Wait: wait,
-	})
-	if errors.Is(err, context.DeadlineExceeded) {
-		return &LateParentError{Addr: addr, Err: err}
-	}
-	if err != nil {
-		return err
-	}
-	if page.Revision.Era < r.table.Revision().Era {
-		return &StalePeerError{Addr: addr, Revision: page.Revision}
-	}
-	confirmed := page.Fresh && (page.Confirmation == 0 || page.Confirmation != r.parentConfirmation)
-	r.parentConfirmation = page.Confirmation
-	if confirmed {
-		r.accept(time.Now().Add(-page.ConfirmedAge), func() { r.merge(page) })
-		r.listed.Store(true)
-	} else {
-		r.merge(page)
-	}
-	if !page.Fresh {
-		return &StalePeerError{Addr: addr, Revision: page.Revision}
-	}
-	if r.freshLeft(time.Now()) <= 0 {
-		return &LateParentError{Addr: addr}
-	}
-	return nil
-}
-
-// followTimes returns the wait and the timeout of a poll of the parent by a node
-// whose copy counts as up to date for freshLeft.
-func followTimes(freshLeft time.Duration) (wait, timeout time.Duration) {
-	if freshLeft <= 0 {
-		return 0, followGrace
-	}
-	timeout = min(followWait+followGrace, max(freshLeft, followGrace))
-	return min(followWait, freshLeft), timeout
-}
-
-// readPlatform lists all items, or watches for changes if the table holds a
-// complete list. It returns a *StaleEraError if the response is of an earlier era than
-// the table.
-func (r *Reader) readPlatform(runCtx context.Context, position TreePosition) error {
-	if !r.listed.Load() {
-		return r.listPlatform(runCtx)
-	}
-	wait := r.platformWait(position)
-	ctx, cancel := context.WithTimeout(runCtx, wait+watchGrace)
-	defer cancel()
-	after := r.table.Revision()
-	page, err := r.cfg.Source.Watch(ctx, after, wait)
-	if err != nil {
-		return err
-	}
-	r.relisted = false
-	page = page.assumeEra(after.Era)
-	if page.Revision.Era > after.Era {
-		// The changes continue from a state of the new era that the table lacks.
-		r.listed.Store(false)
-		return nil
-	}
-	applied := 0
-	if err := r.acceptFromPlatform(page, func() { applied = r.merge(page).Applied }); err != nil {
-		return err
-	}
-	if applied > 0 {
-		sleep(runCtx, batchDelay)
-	}
-	return nil
-}
-
-// platformWait returns the long-poll time of a watch. A node on which others rely
-// confirms its copy once in watchWait, and at once if that time has passed.
-func (r *Reader) platformWait(position TreePosition) time.Duration {
-	if r.confirmOnce {
-		return 0
-	}
-	if position.Parent != "" && !position.HasChildren {
-		return fallbackWatchWait
-	}
-	return min(max(watchWait-r.ConfirmedAge(time.Now()), 0), watchWait)
-}
-
-func (r *Reader) listPlatform(runCtx context.Context) error {
-	timeout := listTimeout
-	if r.Connected() {
-		timeout = relistTimeout
-	}
-	ctx, cancel := context.WithTimeout(runCtx, timeout)
-	defer cancel()
-	page, err := r.cfg.Source.List(ctx)
-	if err != nil {
-		return err
-	}
-	page = page.assumeEra(r.table.Revision().Era)
-	page.Complete = true
-	if err := r.acceptFromPlatform(page, func() { r.merge(page) }); err != nil {
-		return err
-	}
-	r.listed.Store(true)
-	r.cfg.Observer.Listed(page.Revision, len(page.Items))
-	return nil
-}
-
-// acceptFromPlatform calls accept for a page that the platform has just sent. It
-// returns a *StaleEraError, and does not call accept, if the page is of an earlier era
-// than the table.
-func (r *Reader) acceptFromPlatform(page Page, merge func()) error {
-	if held := r.table.Revision(); page.Revision.Era < held.Era {
-		return &StaleEraError{Got: page.Revision, Held: held}
+// accept records a successful read that the platform sent at sentAt, and reports the
+// end of an outage. merge applies it before the nodes that wait for a confirmation are
+// woken, so that they get both in one response.
+func (r *Reader) accept(sentAt time.Time, merge func()) {
+	outage, recovered, announce := r.connectivity.confirm(time.Now(), sentAt)
+	if recovered {
+		r.cfg.Observer.Recovered(outage)
 	}
-	r.accept(time.Now(), merge)
-	return nil
+	merge()
+	announce()
 }
 
 // merge merges a page into the table. The first page of a new era counts as the end of
@@ -309,73 +178,12 @@
 	return result
 }
 
-// accept records a successful read that the platform sent at sentAt, and reports the
-// end of an outage. merge applies it before the nodes that wait for a confirmation are
-// woken, so that they get both in one response.
-func (r *Reader) accept(sentAt time.Time, merge func()) {
-	outage, recovered, announce := r.connectivity.confirm(time.Now(), sentAt)
-	if recovered {
-		r.cfg.Observer.Recovered(outage)
-	}
-	merge()
-	announce()
-}
-
 // markDisconnected records and reports a failed read of the platform.
 func (r *Reader) markDisconnected(err error) {
 	r.connectivity.lose(time.Now())
 	r.cfg.Observer.ReadFailed(err)
 }
 
-// runPeerReads fetches from peers while the node is disconnected, and at once
-// from a peer whose revision is newer than the table's.
-func (r *Reader) runPeerReads(ctx context.Context) {
-	if !sleep(ctx, peerStartDelay) {
-		return
-	}
-	timer := time.NewTimer(peerInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case addr := <-r.peerHint:
-			r.fetchFromPeer(ctx, addr)
-		case <-timer.C:
-			if !r.Connected() {
-				r.fetchFromAnyPeer(ctx)
-			}
-			timer.Reset(peerInterval/2 + rand.N(peerInterval))
-		}
-	}
-}
-
-// fetchFromAnyPeer tries the candidates in turn until fetchFromPeer returns true.
-func (r *Reader) fetchFromAnyPeer(ctx context.Context) {
-	for _, addr := range r.cfg.Peers.Candidates(time.Now()) {
-		if ctx.Err() != nil || r.fetchFromPeer(ctx, addr) {
-			return
-		}
-	}
-}
-
-// fetchFromPeer fetches and merges a peer's changes. It returns false if the
-// fetch failed or the peer's table is empty.
-func (r *Reader) fetchFromPeer(ctx context.Context, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	page, err := r.cfg.Peers.Fetch(ctx, addr, r.table.Revision())
-	if err != nil {
-		r.cfg.Observer.PeerFailed(addr, err)
-		return false
-	}
-	if !r.table.Revision().Less(page.Revision) {
-		return !page.Revision.IsZero()
-	}
-	r.cfg.Observer.MergedFromPeer(addr, page.Revision, r.merge(page).Applied)
-	return true
-}
-
 // sleep pauses for d and returns false if the context ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
