replica: a parent's response ends the pause between lists

Cause: the flag that slows lists which do not help was cleared by a watch only. A node that lists once and then polls its parent kept it, and with it the backoff of its last outage, for its next 410. Found on reading the diff; no run showed it.

--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -38,8 +38,8 @@
 	// confirmation of its last response.
 	parent             string
 	parentConfirmation uint64
-	// relisted is set if the platform has not answered a watch since it last lacked
-	// the changes after the table's revision.
+	// relisted is set if neither the platform has answered a watch nor the parent a poll
+	// since the platform last lacked the changes after the table's revision.
 	relisted bool
 }
 
--- a/internal/replica/reader_parent.go
+++ b/internal/replica/reader_parent.go
@@ -11,7 +11,7 @@
 // that failed, is left for directReadTime.
 func (r *Reader) planAfterPoll(parent string, err error) {
 	if err == nil {
-		r.lateParent = false
+		r.lateParent, r.relisted = false, false
 		return
 	}
 	r.cfg.Observer.PeerFailed(parent, err)
