replica: nodes wait for lost entries for 2 s after a new era

Cause: a new era counted as the end of an outage, 3 s during which removed entries keep their calls for 2.2 s in place of 1 s. A node learns of the return up to 1.7 s after it; from 4 s on the store counts as stable, and the removal of an upstream was then followed 2.2 s late, with up to 0.4 s of batching beyond drain_ms (2,500).

Change: 2 s after a new era, the time within which lost entries are written again.

--- a/internal/replica/connectivity.go
+++ b/internal/replica/connectivity.go
@@ -17,6 +17,9 @@
 	// set. disconnectedAt starts as the time of creation; reconnectedAt stays zero if the
 	// node connected at once.
 	disconnectedAt, reconnectedAt time.Time
+	// eraBegunAt is when the node learned last that the platform had returned from an
+	// older copy of itself; zero if it never did.
+	eraBegunAt time.Time
 	// confirmedAt is when the platform sent the last successful read, which may have
 	// arrived through other nodes.
 	confirmedAt time.Time
@@ -74,12 +77,11 @@
 	}
 }
 
-// restored records that the platform returned from an older copy of itself, which makes
-// the node unstable as an outage does.
-func (c *connectivity) restored(now time.Time) {
+// beginEra records that the platform returned from an older copy of itself.
+func (c *connectivity) beginEra(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reconnectedAt = now
+	c.eraBegunAt = now
 }
 
 func (c *connectivity) isConnected() bool {
@@ -95,12 +97,13 @@
 	return c.lost
 }
 
-// unstable reports whether the node is disconnected or has been connected for
-// less than unstableAfterOutage.
+// unstable reports whether the node is disconnected, has been connected for
+// less than unstableAfterOutage, or has learned of a return of the platform less than
+// unstableAfterReturn ago.
 func (c *connectivity) unstable(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.connected || now.Sub(c.reconnectedAt) < unstableAfterOutage
+	return !c.connected || now.Sub(c.reconnectedAt) < unstableAfterOutage || now.Sub(c.eraBegunAt) < unstableAfterReturn
 }
 
 // confirmedSince returns a channel that is closed once the number of confirmations
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -39,6 +39,10 @@
 	// unstableAfterOutage is how long after an outage the platform may lack
 	// entries that are about to be restored.
 	unstableAfterOutage = 3 * time.Second
+	// unstableAfterReturn is the same after the platform's return from an older copy.
+	// It is as short as the time within which lost entries are written again: a node may
+	// learn of the return late, and later removals are notices that an upstream leaves.
+	unstableAfterReturn = 2 * time.Second
 	// minBackoff and maxBackoff bound the backoff, before jitter, after a failed
 	// read.
 	minBackoff = 50 * time.Millisecond
--- a/internal/replica/reader.go
+++ b/internal/replica/reader.go
@@ -71,8 +71,9 @@
 	return freshTime + time.Duration(r.depth.Load())*depthMargin - r.ConfirmedAge(now)
 }
 
-// Unstable reports whether the node is disconnected or reconnected only
-// recently. The platform may then lack entries that are about to be restored.
+// Unstable reports whether the node is disconnected or reconnected only recently, or
+// learned only recently that the platform returned from an older copy. The platform may
+// then lack entries that are about to be restored.
 func (r *Reader) Unstable(now time.Time) bool { return r.connectivity.unstable(now) }
 
 // Run reads until the context ends, and returns once its goroutines have
@@ -164,12 +165,12 @@
 	announce()
 }
 
-// merge merges a page into the table. The first page of a new era counts as the end of
-// an outage: the platform may lack entries that are about to be restored.
+// merge merges a page into the table. The first page of a new era makes the node
+// unstable before it is applied.
 func (r *Reader) merge(page Page) MergeResult {
 	held := r.table.Revision()
 	if page.Complete && !held.IsZero() && held.Era < page.Revision.Era {
-		r.connectivity.restored(time.Now())
+		r.connectivity.beginEra(time.Now())
 	}
 	result := r.table.Merge(page)
 	if !result.EndedEra.IsZero() {
