instance: ignore a removal that is earlier than the entry

Cause: one page brought the removal of an entry and, at a later revision, the entry written again. Removals of a page are applied after its entries, and the directory did not compare their revisions: the earlier removal made the later entry lapse, and as the table held it as current no read brought it again.

Ruled out: reporting each key of a page once. If the newest version of a page is refused, an older one in it would not come in force either.

Change: Lapse and Withdraw ignore a removal at a revision before that of the entry.

--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -112,19 +112,23 @@
 func (d *Directory) Withdraw(now time.Time, id string, at revision.Revision) {
 	d.changes.Lock()
 	defer d.changes.Unlock()
-	if i := d.Get(id); i != nil {
+	if i := d.listedBefore(id, at); i != nil {
 		d.withdrawn.remove(now, i, at.Era)
 	}
 }
 
-// Lapse records that the platform no longer lists an instance. The instance
-// becomes gone after the grace period, or at once if it was draining.
+// Lapse records that the platform removed the entry of an instance at a revision. The
+// instance becomes gone after the grace period, or at once if it was draining. The removal
+// is ignored if the entry was written again at a later revision.
 func (d *Directory) Lapse(now time.Time, id string, at revision.Revision, grace time.Duration) {
 	d.changes.Lock()
 	defer d.changes.Unlock()
+	old := d.listedBefore(id, at)
+	if old == nil {
+		return
+	}
 	d.withdrawn.unlist(id)
-	old := d.Get(id)
-	if old == nil || old.State >= Lapsed {
+	if old.State >= Lapsed {
 		return
 	}
 	next := *old
@@ -136,6 +140,16 @@
 	d.put(&next)
 }
 
+// listedBefore returns the instance with an id unless its entry is later than a revision;
+// nil if there is none.
+func (d *Directory) listedBefore(id string, at revision.Revision) *Instance {
+	i := d.Get(id)
+	if i == nil || at.Less(i.Revision) {
+		return nil
+	}
+	return i
+}
+
 // MarkLeaving records that an instance said in a response that it leaves, and
 // reports whether that is new. The instance gets no new calls from then on,
 // whatever the platform lists, until it starts again.
