--- a/internal/instance/addr_shard.go
+++ b/internal/instance/addr_shard.go
@@ -10,8 +10,9 @@
 	byAddr map[string]*Instance
 }
 
-// claim assigns the address to i unless another instance with a later claim has it. It returns the instance that lost the address: the previous one, or i
-// itself if it was not assigned. It returns nil if no other instance had it.
+// claim assigns the address to i unless another instance with a later claim has it. It
+// returns the instance that lost the address: the previous one, or i itself if it was not
+// assigned. It returns nil if no other instance had it.
 func (s *addrShard) claim(i *Instance) (superseded *Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/tools/faultsoak/store_returns.go
+++ b/tools/faultsoak/store_returns.go
@@ -13,9 +13,6 @@
 	spans []storeReturn
 }
 
-// storeReturn is one of the spans. Its end is zero while it lasts.
-type storeReturn struct{ begin, end time.Time }
-
 func (s *storeReturns) begin(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
