--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -25,8 +25,8 @@
 	// under mu and read without: every forwarded call reads it and must not wait
 	// for mu, which is held while a large version is applied.
 	revision atomic.Pointer[revision.Revision]
-	// mu guards changed and serialises Merge and Replace, so that onChange is
-	// called with the changes of a key in the order of their revisions.
+	// mu guards changed and serialises Merge, so that onChange is called with the
+	// changes of a key in the order of their revisions.
 	mu sync.Mutex
 	// changed is closed and replaced when revision advances.
 	changed chan struct{}
