--- a/internal/replica/returned_platform_test.go
+++ b/internal/replica/returned_platform_test.go
@@ -158,6 +158,8 @@
 		items, at := platform.copy()
 		platform.restore(items, at)
 		for elapsed := time.Duration(0); elapsed < contactTime; elapsed += 50 * time.Millisecond {
+			// Nodes that learn of the return at this instant are done with it.
+			synctest.Wait()
 			for n, node := range chain {
 				learned := node.table.Revision().Era == 1
 				if !learned && node.reader.Unstable(time.Now()) || learned && elapsed < 2*time.Second && !node.reader.Unstable(time.Now()) {
