instance: one call for the removal of an entry

The applier called Withdraw and then Lapse, each of which took the lock of the directory and looked the entry up, and the first alone did nothing that a reader would expect. Withdraw now lapses the entry too, so that the applier calls one of the two.

--- a/internal/feed/applier.go
+++ b/internal/feed/applier.go
@@ -107,12 +107,10 @@
 }
 
 func (a *Applier) applyRemoval(now time.Time, d decodedItem) {
-	grace := removedGrace
+	grace, remove := removedGrace, a.directory.Withdraw
 	if a.Unstable(now) {
-		grace = expiredGrace
-	} else {
-		a.directory.Withdraw(now, d.change.RemovedID, d.revision)
+		grace, remove = expiredGrace, a.directory.Lapse
 	}
-	a.directory.Lapse(now, d.change.RemovedID, d.revision, grace)
+	remove(now, d.change.RemovedID, d.revision, grace)
 	a.log.Info("upstream entry removed", "instance", d.change.RemovedID, "revision", d.revision.String(), "grace_ms", grace.Milliseconds())
 }
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -106,14 +106,15 @@
 	d.serviceShard(i.Service).put(i)
 }
 
-// Withdraw records that an entry is about to lapse which the platform removed while it
-// was stable. An entry of the same start in a later era, from a copy of the platform,
-// does not count at once then.
-func (d *Directory) Withdraw(now time.Time, id string, at revision.Revision) {
+// Withdraw does what Lapse does for an entry that the platform removed while it was
+// stable. An entry of the same start in a later era, from a copy of the platform, does not
+// count at once then.
+func (d *Directory) Withdraw(now time.Time, id string, at revision.Revision, grace time.Duration) {
 	d.changes.Lock()
 	defer d.changes.Unlock()
 	if i := d.listedBefore(id, at); i != nil {
 		d.withdrawn.remove(now, i, at.Era)
+		d.lapse(now, i, at, grace)
 	}
 }
 
@@ -123,11 +124,14 @@
 func (d *Directory) Lapse(now time.Time, id string, at revision.Revision, grace time.Duration) {
 	d.changes.Lock()
 	defer d.changes.Unlock()
-	old := d.listedBefore(id, at)
-	if old == nil {
-		return
+	if i := d.listedBefore(id, at); i != nil {
+		d.lapse(now, i, at, grace)
 	}
-	d.withdrawn.unlist(id)
+}
+
+// lapse implements Lapse. The caller holds changes.
+func (d *Directory) lapse(now time.Time, old *Instance, at revision.Revision, grace time.Duration) {
+	d.withdrawn.unlist(old.ID)
 	if old.State >= Lapsed {
 		return
 	}
--- a/internal/instance/returned_platform_test.go
+++ b/internal/instance/returned_platform_test.go
@@ -22,10 +22,7 @@
 		d.Put(run(startedAtMs, state, at, now))
 	}
 	drains := func(d *Directory) { put(d, 1, Draining, in(1, 8), start) }
-	removed := func(d *Directory) {
-		d.Withdraw(start, "x", in(1, 8))
-		d.Lapse(start, "x", in(1, 8), time.Second)
-	}
+	removed := func(d *Directory) { d.Withdraw(start, "x", in(1, 8), time.Second) }
 	drainsAndIsRemoved := func(d *Directory) { drains(d); removed(d) }
 	later := start.Add(3 * time.Second)
 	for _, c := range []struct {
